--- /dev/null
+++ b/crates/edge/src/bin/edge.rs
@@ -0,0 +1,57 @@
+//! The daemon that steers flows on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use edge::life::Daemon;
+use platform::Settings;
+use slog::{Level, o};
+
+const EXIT_CODES: &str = "\
+Signals: SIGTERM or SIGINT begins a graceful stop; SIGHUP reads the settings again.
+
+Exit codes:
+  0    stopped gracefully
+  2    settings refused, or an address could not be bound";
+
+/// Exit code when the settings are refused or a socket cannot be bound.
+const EXIT_USAGE: u8 = 2;
+
+/// Steers flows whose answers bypass the balancer.
+#[derive(Debug, Parser)]
+#[command(name = "pollenpin-edge", version, after_help = EXIT_CODES)]
+struct Options {
+    /// Settings file; by default the one that the platform names in the environment.
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    match run(Options::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn run(options: Options) -> edge::Result<()> {
+    let file = options.settings.unwrap_or_else(platform::settings_file);
+    let settings = Settings::read(&file)?;
+    let values = o!(
+        "instance" => settings.instance.clone(),
+        "domain" => settings.domain.clone(),
+    );
+    let (log, _flush) = logs::logger(Level::Info, values);
+    let daemon = Daemon::bind(settings, log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(edge::Error::io("starting the runtime"))?;
+    runtime.block_on(async {
+        daemon.start()?.serve().await?.finish().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,15 @@
+//! The daemon `pollenpin-edge`: steers flows on the users' platform.
+//!
+//! One thread receives packets and carries out the verdicts of [`steer`]; tasks beside it read the
+//! store and answer over HTTP. See [running on the platform](../../../docs/platform.md).
+
+mod budget;
+mod error;
+mod feed;
+mod http;
+pub mod life;
+mod metrics;
+mod packets;
+mod tell;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/edge/src/life.rs
@@ -0,0 +1,176 @@
+//! The life cycle: starting, serving, stopping.
+//!
+//! Each state is a type of its own, so that a step out of order does not compile.
+
+use std::time::Duration;
+
+use ids::Millis;
+use platform::{Settings, Store};
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
+use slog::{Logger, info, warn};
+use steer::Steer;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::feed::{Feed, Reader};
+use crate::http;
+use crate::metrics::Metrics;
+use crate::packets::PacketLoop;
+use crate::{Error, Result};
+
+/// Time for which a stopping instance goes on forwarding. Routers take it out of rotation after two
+/// missed checks, which are half a second apart, and packets on their way follow.
+const LINGER: Millis = Millis(3_500);
+
+/// Time kept back before the process would be ended by force.
+const STOP_MARGIN: Millis = Millis(1_000);
+
+/// The socket is bound, so that packets wait in it; nothing runs.
+pub struct Starting {
+    socket: std::net::UdpSocket,
+    settings: Settings,
+}
+
+/// Packets are forwarded.
+pub struct Serving {
+    packets: PacketLoop,
+    feeds: flume::Receiver<Feed>,
+    stopping: watch::Sender<bool>,
+    settings: Settings,
+}
+
+/// Not ready any more; packets are still forwarded.
+pub struct Stopping {
+    packets: PacketLoop,
+    feeds: flume::Receiver<Feed>,
+    linger: Millis,
+}
+
+/// A daemon in one state of its life.
+pub struct Daemon<S> {
+    state: S,
+    log: Logger,
+}
+
+impl Daemon<Starting> {
+    /// Binds the socket for packets.
+    ///
+    /// # Errors
+    /// Fails when the address is taken or not this machine's.
+    pub fn bind(settings: Settings, log: Logger) -> Result<Self> {
+        let step = format!("binding {}", settings.packets);
+        let socket = std::net::UdpSocket::bind(settings.packets).map_err(Error::io(&*step))?;
+        socket.set_nonblocking(true).map_err(Error::io(step))?;
+        Ok(Self {
+            state: Starting { socket, settings },
+            log,
+        })
+    }
+
+    /// Starts every task. Must run inside a runtime.
+    ///
+    /// # Errors
+    /// Fails when a client or the metrics cannot be set up.
+    pub fn start(self) -> Result<Daemon<Serving>> {
+        let Self { state, log } = self;
+        let Starting { socket, settings } = state;
+        let metrics = Metrics::new()?;
+        let (queue, feeds) = flume::unbounded();
+        let store = Store::new(settings.store)?;
+        tokio::spawn(Reader::new(store, queue, metrics.clone(), log.clone()).run());
+        let (usable, has_view) = watch::channel(false);
+        let (stopping, is_stopping) = watch::channel(false);
+        spawn_server(&log, http::serve_ready(settings.ready, platform::READY_PATH, has_view, is_stopping));
+        spawn_server(&log, http::serve_metrics(settings.metrics, metrics.clone()));
+        let socket = UdpSocket::from_std(socket).map_err(Error::io("registering the socket"))?;
+        let steering = steer::Settings {
+            domain: settings.domain.as_str().into(),
+            flow_life: settings.flow_life,
+            ..steer::Settings::default()
+        };
+        let seed = SmallRng::from_os_rng().next_u64();
+        let steer = Steer::new(steering, seed);
+        info!(log, "started"; "step" => "start", "packets" => %settings.packets,
+            "ready" => %settings.ready, "metrics" => %settings.metrics,
+            "store" => %settings.store);
+        let packets = PacketLoop::new(socket, steer, metrics, log.clone(), usable);
+        Ok(Daemon {
+            state: Serving {
+                packets,
+                feeds,
+                stopping,
+                settings,
+            },
+            log,
+        })
+    }
+}
+
+fn spawn_server(log: &Logger, server: impl Future<Output = Result<()>> + Send + 'static) {
+    let log = log.clone();
+    tokio::spawn(async move {
+        if let Err(error) = server.await {
+            warn!(log, "server ended"; "reason" => %error);
+        }
+    });
+}
+
+impl Daemon<Serving> {
+    /// Serves until a signal asks to stop.
+    ///
+    /// # Errors
+    /// Fails when signals cannot be listened to.
+    pub async fn serve(mut self) -> Result<Daemon<Stopping>> {
+        let mut terminate = listen(SignalKind::terminate())?;
+        let mut interrupt = listen(SignalKind::interrupt())?;
+        let mut reload = listen(SignalKind::hangup())?;
+        let log = self.log.clone();
+        let stop = async {
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => return,
+                    _ = interrupt.recv() => return,
+                    _ = reload.recv() => self::reload(&log, &self.state.settings),
+                }
+            }
+        };
+        self.state.packets.run(&self.state.feeds, stop).await;
+        self.state.stopping.send_replace(true);
+        let limit = self.state.settings.stop_limit.0;
+        let linger = LINGER.min(Millis(limit.saturating_sub(STOP_MARGIN.0)));
+        info!(self.log, "stopping"; "step" => "stop", "linger" => %linger);
+        Ok(Daemon {
+            state: Stopping {
+                packets: self.state.packets,
+                feeds: self.state.feeds,
+                linger,
+            },
+            log: self.log,
+        })
+    }
+}
+
+impl Daemon<Stopping> {
+    /// Forwards until routers send their packets elsewhere.
+    pub async fn finish(mut self) {
+        let linger = tokio::time::sleep(Duration::from_millis(self.state.linger.0));
+        self.state.packets.run(&self.state.feeds, linger).await;
+        info!(self.log, "stopped"; "step" => "stop");
+    }
+}
+
+/// Reads the settings again. Addresses and names hold for the life of a process.
+fn reload(log: &Logger, current: &Settings) {
+    match Settings::read(&platform::settings_file()) {
+        Ok(read) => info!(log, "settings read again"; "step" => "reload",
+            "changed" => read != *current),
+        Err(error) => warn!(log, "settings refused, the former ones hold"; "step" => "reload",
+            "reason" => %error),
+    }
+}
+
+fn listen(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(Error::io("listening for signals"))
+}
--- /dev/null
+++ b/crates/edge/src/packets.rs
@@ -0,0 +1,208 @@
+//! The packet loop: receives, asks the core, sends.
+
+use std::io::ErrorKind;
+use std::time::{Duration, Instant};
+
+use ids::Micros;
+use platform::packet;
+use slog::{Logger, warn};
+use steer::{Destination, Steer, Verdict};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+use crate::feed::Feed;
+use crate::metrics::Metrics;
+use crate::tell::Teller;
+
+/// Packets taken before other events get their turn.
+const BATCH: usize = 64;
+
+/// Time between two sweeps of the flow table.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Room for a packet with its prefix; one byte more shows a datagram that is too long.
+const BUFFER_BYTES: usize = packet::PREFIX_BYTES + packet::MAX_PACKET_BYTES + 1;
+
+/// Steers the packets of one socket.
+pub struct PacketLoop {
+    socket: UdpSocket,
+    steer: Steer,
+    teller: Teller,
+    metrics: Metrics,
+    log: Logger,
+    start: Instant,
+    confirmed_at: Instant,
+    ready: watch::Sender<bool>,
+    buffer: [u8; BUFFER_BYTES],
+}
+
+impl PacketLoop {
+    /// Creates a loop for a bound socket.
+    pub fn new(
+        socket: UdpSocket,
+        steer: Steer,
+        metrics: Metrics,
+        log: Logger,
+        ready: watch::Sender<bool>,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            socket,
+            steer,
+            teller: Teller::new(log.clone(), metrics.clone()),
+            metrics,
+            log,
+            start: now,
+            confirmed_at: now,
+            ready,
+            buffer: [0; BUFFER_BYTES],
+        }
+    }
+
+    fn now(&self) -> Micros {
+        Micros(self.start.elapsed().as_micros() as u64)
+    }
+
+    /// Runs until `stop` ends. Packets that arrive before the first view wait in the socket.
+    pub async fn run(&mut self, feeds: &flume::Receiver<Feed>, stop: impl Future<Output = ()>) {
+        tokio::pin!(stop);
+        let mut sweep_at = Instant::now() + SWEEP;
+        loop {
+            let due = self
+                .steer
+                .next_due()
+                .map(|due| self.start + Duration::from_micros(due.0));
+            let wake_at = due.map_or(sweep_at, |due| due.min(sweep_at));
+            let is_usable = self.steer.view().is_usable();
+            tokio::select! {
+                biased;
+                readable = self.socket.readable(), if is_usable => match readable {
+                    Ok(()) => self.receive(),
+                    Err(error) => warn!(self.log, "waiting for packets"; "reason" => %error),
+                },
+                Ok(feed) = feeds.recv_async() => self.take(feed),
+                () = tokio::time::sleep_until(wake_at.into()) => {
+                    self.on_timer();
+                    if Instant::now() >= sweep_at {
+                        self.sweep();
+                        sweep_at = Instant::now() + SWEEP;
+                    }
+                }
+                () = &mut stop => return,
+            }
+            self.tell();
+        }
+    }
+
+    fn receive(&mut self) {
+        for _ in 0..BATCH {
+            let room = &mut self.buffer[packet::PREFIX_BYTES..];
+            let length = match self.socket.try_recv(room) {
+                Ok(length) => length,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // An earlier send met a closed port; the error belongs to no packet here.
+                Err(error) if error.kind() == ErrorKind::ConnectionRefused => continue,
+                Err(error) => {
+                    warn!(self.log, "receiving"; "reason" => %error);
+                    return;
+                }
+            };
+            self.handle(length);
+        }
+    }
+
+    fn handle(&mut self, length: usize) {
+        let end = packet::PREFIX_BYTES + length;
+        let bytes = &mut self.buffer[packet::PREFIX_BYTES..end];
+        let Some(segment) = packet::decode(bytes) else {
+            self.metrics.dropped.with_label_values(&["malformed"]).inc();
+            return;
+        };
+        let now = Micros(self.start.elapsed().as_micros() as u64);
+        match self.steer.on_segment(now, &segment, bytes) {
+            Verdict::Forward { to, token } => {
+                if let Some(token) = token {
+                    packet::set_token(bytes, token);
+                }
+                self.buffer[..packet::PREFIX_BYTES].copy_from_slice(&packet::prefix(to.id));
+                self.send(end, to);
+            }
+            Verdict::Reset(_) => {
+                let reset = packet::reset(segment.flow, segment.ack);
+                self.reset(&reset, segment.flow.caller);
+            }
+            Verdict::Drop(_) => {}
+        }
+    }
+
+    fn send(&self, end: usize, to: Destination) {
+        match self.socket.try_send_to(&self.buffer[..end], to.address.into()) {
+            Ok(_) => self.metrics.forwarded.inc(),
+            Err(error) => self.count_unsent(&error),
+        }
+    }
+
+    fn reset(&self, packet: &[u8], caller: std::net::SocketAddrV4) {
+        // Callers are reached at the port at which this instance takes packets.
+        let port = self.socket.local_addr().map_or(0, |address| address.port());
+        let to = std::net::SocketAddrV4::new(*caller.ip(), port);
+        if let Err(error) = self.socket.try_send_to(packet, to.into()) {
+            self.count_unsent(&error);
+        }
+    }
+
+    /// Counts a packet that could not be sent. Its sender sends it again, like a lost one.
+    fn count_unsent(&self, error: &std::io::Error) {
+        let reason = if error.kind() == ErrorKind::WouldBlock {
+            "socket-full"
+        } else {
+            "send-failed"
+        };
+        self.metrics.dropped.with_label_values(&[reason]).inc();
+    }
+
+    fn take(&mut self, feed: Feed) {
+        let now = self.now();
+        self.confirmed_at = Instant::now();
+        match feed {
+            Feed::Reading { revision, updates } => self.steer.replace_view(now, revision, updates),
+            Feed::Changes { revision, updates } => self.steer.update_view(now, revision, updates),
+        }
+        let is_usable = self.steer.view().is_usable();
+        self.ready
+            .send_if_modified(|ready| std::mem::replace(ready, is_usable) != is_usable);
+    }
+
+    fn on_timer(&mut self) {
+        let now = self.now();
+        let mut resends = Vec::new();
+        self.steer.on_timer(now, |resend| resends.push(resend));
+        for mut resend in resends {
+            packet::set_token(&mut resend.packet, resend.token);
+            let end = packet::PREFIX_BYTES + resend.packet.len();
+            self.buffer[..packet::PREFIX_BYTES].copy_from_slice(&packet::prefix(resend.to.id));
+            self.buffer[packet::PREFIX_BYTES..end].copy_from_slice(&resend.packet);
+            self.send(end, resend.to);
+        }
+    }
+
+    fn sweep(&mut self) {
+        let now = self.now();
+        self.steer.sweep(now);
+        self.metrics.flows.set(self.steer.flows() as i64);
+        self.metrics.revision.set(self.steer.view().revision() as i64);
+        self.metrics
+            .view_age_ms
+            .set(self.confirmed_at.elapsed().as_millis() as i64);
+        self.teller.tell_left_out();
+    }
+
+    fn tell(&mut self) {
+        let now = self.now();
+        let mut notes = self.steer.take_notes();
+        for note in notes.drain(..) {
+            self.teller.tell(now, self.steer.view(), note);
+        }
+        self.steer.return_notes(notes);
+    }
+}
--- /dev/null
+++ b/crates/steer/src/lib.rs
@@ -0,0 +1,24 @@
+//! Steering of flows whose answers bypass the balancer.
+//!
+//! The decision core of the second protocol: callers and targets carry a token of 32 bits that
+//! names the target of a flow, so every instance forwards every packet without shared state. The
+//! core has no sockets, clocks or threads; a driver passes events with the time and carries out
+//! the verdicts. See [running on the platform](../../../docs/platform.md).
+//!
+//! A packet is read in this order: [`packet`], [`steer`], [`flow`], [`place`], [`silence`];
+//! [`model`] and [`view`] hold what the configuration says.
+
+pub mod flow;
+pub mod model;
+pub mod packet;
+pub mod place;
+pub mod settings;
+pub mod silence;
+pub mod steer;
+pub mod view;
+
+pub use model::{Change, Document, Repeat, Route, Share, Target, TargetId, Update};
+pub use packet::{FlowId, Kind, Segment, Token};
+pub use settings::Settings;
+pub use steer::{Destination, Drop, Note, Refusal, Resend, Steer, Verdict};
+pub use view::View;
--- /dev/null
+++ b/crates/steer/src/place.rs
@@ -0,0 +1,83 @@
+//! The choice of a target for a new flow.
+
+use ids::Micros;
+use rand::Rng;
+
+use crate::model::TargetId;
+use crate::settings::Settings;
+use crate::view::{Member, Standing, View};
+
+/// Load of a slow target relative to a warm one.
+const COLD_FACTOR: f32 = 1.6;
+
+/// Weight of an open flow relative to a request under way. Long flows send requests now and then.
+const FLOW_WEIGHT: f32 = 0.05;
+
+/// Preference of a target, the lowest first.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct Rank {
+    /// Targets that seem silent come last, so that a fault of this instance's own link does not
+    /// leave it without any.
+    is_avoided: bool,
+    /// Busy targets of this failure domain come after idle ones of others.
+    is_busy: bool,
+    is_remote: bool,
+    load: f32,
+}
+
+/// Chooses a target of a service, leaving out those already tried.
+///
+/// Among targets of equal rank the one with the fewest requests under way per slot wins; ties are
+/// broken at random, so that instances with equal views do not choose the same one.
+pub fn place(
+    view: &View,
+    settings: &Settings,
+    now: Micros,
+    service: &str,
+    tried: &[TargetId],
+    random: &mut impl Rng,
+) -> Option<TargetId> {
+    let mut best: Option<(Rank, TargetId)> = None;
+    let mut ties = 0;
+    for member in view.of_service(service) {
+        let id = member.target.id;
+        if !takes_flows(view, member) || tried.contains(&id) {
+            continue;
+        }
+        let rank = rank(member, settings, now);
+        match &best {
+            Some((best_rank, _)) if rank > *best_rank => {}
+            Some((best_rank, _)) if rank == *best_rank => {
+                ties += 1;
+                if random.random_ratio(1, ties) {
+                    best = Some((rank, id));
+                }
+            }
+            _ => {
+                ties = 1;
+                best = Some((rank, id));
+            }
+        }
+    }
+    best.map(|(_, id)| id)
+}
+
+fn takes_flows(view: &View, member: &Member) -> bool {
+    let is_open = matches!(member.standing, Standing::Serving | Standing::Lapsed(_));
+    let id = member.target.id;
+    is_open && view.by_token(id.token()) == Some(id)
+}
+
+fn rank(member: &Member, settings: &Settings, now: Micros) -> Rank {
+    let slots = member.target.slots as f32;
+    let is_remote = member.target.domain != settings.domain;
+    let slowness = if now < member.warm_at { COLD_FACTOR } else { 1.0 };
+    let requests = member.waiting as f32 + FLOW_WEIGHT * member.flows as f32;
+    let load = (requests + 1.0) * slowness / slots;
+    Rank {
+        is_avoided: member.silence.is_avoided(now),
+        is_busy: load > settings.busy_per_slot,
+        is_remote,
+        load,
+    }
+}
