Take a packet as sent again only after a pause

Ruled out: lost handshakes; the trace shows waits of 0 ms. Change: half of the callers' resend interval has to pass without new data.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,8 +30,8 @@
     pub resets: IntCounterVec,
     /// Packets dropped, by reason.
     pub dropped: IntCounterVec,
-    /// Targets found silent.
-    pub silent: IntCounter,
+    /// Packets to targets without an answer.
+    pub missed: IntCounter,
     /// Time from a caller's first opening packet to the handshake's end.
     pub handshake: Histogram,
     /// Time from a request to the acknowledgement of its answer.
@@ -81,7 +81,7 @@
             )?,
             resets: by("flows_reset_total", "Flows reset", "reason")?,
             dropped: by("packets_dropped_total", "Packets dropped", "reason")?,
-            silent: counter("targets_silent_total", "Targets found silent")?,
+            missed: counter("answers_missed_total", "Packets to targets without an answer")?,
             handshake: latency(
                 "handshake_seconds",
                 "Time from the first opening packet to the handshake's end",
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -62,7 +62,18 @@
                         "document" => view.version(), "revision" => view.revision());
                 }
             }
-            Note::Opened { took, .. } => self.metrics.handshake.observe(seconds(took)),
+            Note::Opened {
+                flow,
+                target,
+                took,
+                tried,
+            } => {
+                self.metrics.handshake.observe(seconds(took));
+                if tried > 1 && self.unusual.take(now) {
+                    info!(self.log, "flow opened after a retry"; "flow" => %flow,
+                        "target" => %target, "took_ms" => took.0, "tried" => tried);
+                }
+            }
             Note::Answered { took } => self.metrics.answer.observe(seconds(took)),
             Note::Reset { flow, reason } => self.reset(now, view, flow, reason),
             Note::Dropped {
@@ -77,9 +88,20 @@
                         "token" => token.0, "revision" => view.revision());
                 }
             }
-            Note::Silent { target, flow } => {
-                self.metrics.silent.inc();
-                warn!(self.log, "target silent"; "target" => %target, "flow" => %flow);
+            Note::Missed {
+                target,
+                flow,
+                waited,
+                is_opening,
+                heard_before,
+                is_certain,
+            } => {
+                self.metrics.missed.inc();
+                if self.unusual.take(now) {
+                    warn!(self.log, "no answer from target"; "flow" => %flow, "target" => %target,
+                        "waited_ms" => waited.0, "opening" => is_opening,
+                        "heard_before_ms" => heard_before.0, "certain" => is_certain);
+                }
             }
             Note::HeardAgain { target } => {
                 info!(self.log, "target heard again"; "target" => %target);
--- a/crates/steer/src/flow.rs
+++ b/crates/steer/src/flow.rs
@@ -9,8 +9,13 @@
 use crate::model::TargetId;
 use crate::packet::{FlowId, Segment, is_after};
 
-/// Targets that get an opening packet before a caller is told to start anew.
-pub const MAX_TRIED: usize = 4;
+/// Shortest pause before a packet counts as sent again. Callers wait 200 ms before they resend; a
+/// packet that comes sooner was overtaken on its way.
+const RESEND_PAUSE: Millis = Millis(100);
+
+/// Targets that get the opening packet of one flow. When three of them do not answer, the fault is
+/// more likely on the caller's side.
+pub const MAX_TRIED: usize = 3;
 
 /// Longest opening packet that is kept to be sent again; it carries no data.
 pub const OPENING_BYTES: usize = 32;
@@ -73,6 +78,8 @@
     pub since: Micros,
     /// End of the data that the caller has sent.
     pub sent_end: u32,
+    /// When new data last came.
+    pub data_at: Micros,
     /// Position up to which the caller has received.
     pub received: u32,
     /// When the oldest request without an answer was sent.
@@ -109,6 +116,7 @@
             seen_at: now,
             since: now,
             sent_end: segment.seq,
+            data_at: now,
             received: segment.ack,
             asked_at: None,
             is_missed: false,
@@ -131,13 +139,17 @@
         }
         if is_after(segment.end(), self.sent_end) {
             self.sent_end = segment.end();
+            self.data_at = now;
             if self.asked_at.is_none() {
                 self.asked_at = Some(now);
                 if progress == Progress::None {
                     progress = Progress::Asked;
                 }
             }
-        } else if let (Some(asked_at), Progress::None) = (self.asked_at, progress) {
+            return progress;
+        }
+        let is_resent = now.since(self.data_at) >= RESEND_PAUSE;
+        if let (Some(asked_at), Progress::None, true) = (self.asked_at, progress, is_resent) {
             progress = Progress::Resent { asked_at };
         }
         progress
--- a/crates/steer/src/silence.rs
+++ b/crates/steer/src/silence.rs
@@ -31,16 +31,22 @@
         was_avoided
     }
 
-    /// A packet sent at `asked_at` has no answer. Returns whether the target counts as silent
-    /// from now on and did not before.
-    pub fn miss(&mut self, now: Micros, asked_at: Micros, doubt: Millis, avoid: Millis) -> bool {
+    /// A packet sent at `asked_at` has no answer. Returns whether silence is certain now, or
+    /// nothing when the target was heard since.
+    pub fn miss(
+        &mut self,
+        now: Micros,
+        asked_at: Micros,
+        doubt: Millis,
+        avoid: Millis,
+    ) -> Option<bool> {
         if asked_at < self.heard_at {
-            return false;
+            return None;
         }
         self.signs = self.signs.saturating_add(1);
         let span = if self.signs >= CERTAIN_SIGNS { avoid } else { doubt };
         self.avoid_until = self.avoid_until.max(now + span);
-        self.signs == CERTAIN_SIGNS
+        Some(self.is_certain())
     }
 
     /// Tells whether the target gets no new flows.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -114,6 +114,8 @@
         target: TargetId,
         /// Time from the first opening packet.
         took: Millis,
+        /// Targets that got the opening packet.
+        tried: usize,
     },
     /// A request got its answer.
     Answered {
@@ -136,12 +138,20 @@
         /// Its token.
         token: Token,
     },
-    /// Several packets to a target had no answer.
-    Silent {
+    /// A packet to a target had no answer.
+    Missed {
         /// The target.
         target: TargetId,
         /// The flow that decided.
         flow: FlowId,
+        /// Time since the packet was first sent.
+        waited: Millis,
+        /// Whether the flow was still to be opened.
+        is_opening: bool,
+        /// Time since a caller last showed that it had heard from the target.
+        heard_before: Millis,
+        /// Whether silence is certain from now on.
+        is_certain: bool,
     },
     /// An avoided target answered.
     HeardAgain {
@@ -311,7 +321,7 @@
             return None;
         };
         let before = flow.target;
-        self.miss(now, before, sent_at, id);
+        self.miss(now, before, sent_at, id, true);
         let route = self.view.route(id.entry)?;
         let service = self.view.service_of(route, id)?;
         let next = place(
@@ -424,6 +434,7 @@
                 flow: segment.flow,
                 target: id,
                 took,
+                tried: tried.as_slice().len(),
             });
         }
         let Some(flow) = self.flows.get_mut(&segment.flow) else {
@@ -443,7 +454,7 @@
             }
             Progress::Resent { asked_at } => {
                 if !std::mem::replace(&mut flow.is_missed, true) {
-                    self.miss(now, id, asked_at, &segment.flow);
+                    self.miss(now, id, asked_at, &segment.flow, false);
                 }
             }
         }
@@ -459,15 +470,27 @@
         }
     }
 
-    fn miss(&mut self, now: Micros, id: TargetId, asked_at: Micros, flow: &FlowId) {
+    fn miss(
+        &mut self,
+        now: Micros,
+        id: TargetId,
+        asked_at: Micros,
+        flow: &FlowId,
+        is_opening: bool,
+    ) {
         let (doubt, avoid) = (self.settings.doubt, self.settings.avoid);
         let Some(member) = self.view.member_mut(id) else {
             return;
         };
-        if member.silence.miss(now, asked_at, doubt, avoid) {
-            self.notes.push(Note::Silent {
+        let heard_before = now.since(member.silence.heard_at());
+        if let Some(is_certain) = member.silence.miss(now, asked_at, doubt, avoid) {
+            self.notes.push(Note::Missed {
                 target: id,
                 flow: *flow,
+                waited: now.since(asked_at),
+                is_opening,
+                heard_before,
+                is_certain,
             });
         }
     }
