Reset flows of a silent target only on recent unanswered requests

Cause: unanswered opening packets counted as proof of death for open flows, but a full target does not answer them either; and the proof had no end, as nobody asks an avoided target. Ruled out: lost packets (waits of 40 ms to 70 ms on two instances at once). Change: three unanswered requests of open flows within the last second.

--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -2,9 +2,9 @@
 
 use ids::Micros;
 use slog::{Logger, info, warn};
-use steer::steer::{Note, Refusal};
+use steer::silence::Asked;
 use steer::view::{Effect, Standing};
-use steer::{Drop, FlowId, View};
+use steer::{Drop, FlowId, Note, Refusal, View};
 
 use crate::budget::Budget;
 use crate::metrics::Metrics;
@@ -92,15 +92,15 @@
                 target,
                 flow,
                 waited,
-                is_opening,
+                asked,
                 heard_before,
-                is_certain,
+                signs,
             } => {
                 self.metrics.missed.inc();
                 if self.unusual.take(now) {
                     warn!(self.log, "no answer from target"; "flow" => %flow, "target" => %target,
-                        "waited_ms" => waited.0, "opening" => is_opening,
-                        "heard_before_ms" => heard_before.0, "certain" => is_certain);
+                        "waited_ms" => waited.0, "opening" => asked == Asked::Opening,
+                        "heard_before_ms" => heard_before.0, "signs" => signs);
                 }
             }
             Note::HeardAgain { target } => {
--- a/crates/steer/src/silence.rs
+++ b/crates/steer/src/silence.rs
@@ -6,10 +6,27 @@
 
 use ids::{Micros, Millis};
 
-/// Unanswered packets of different flows from which silence is taken as certain. A single one is
+/// Unanswered packets of different flows from which a target is avoided for long. A single one is
 /// as likely to be a lost datagram.
 const CERTAIN_SIGNS: u32 = 2;
 
+/// Unanswered requests of different open flows from which the target's flows count as dead. Two
+/// losses may coincide on a live target between two answers; three do not.
+const DEAD_SIGNS: u32 = 3;
+
+/// Time for which unanswered requests count. A target that comes back is found by the first
+/// request after it.
+const DEAD_MEMORY: Millis = Millis(1_000);
+
+/// What had no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// An opening packet. A live target that is full does not answer it either.
+    Opening,
+    /// A request of an open flow, which every live target acknowledges.
+    Request,
+}
+
 /// What callers' packets say of one target.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Silence {
@@ -17,6 +34,10 @@
     heard_at: Micros,
     /// Unanswered packets since then.
     signs: u32,
+    /// Unanswered requests of open flows since then.
+    requests: u32,
+    /// Last unanswered request.
+    request_at: Micros,
     /// Time before which the target gets no new flows.
     avoid_until: Micros,
 }
@@ -25,33 +46,38 @@
     /// A caller has heard from the target. Returns whether the target was avoided until now.
     pub fn hear(&mut self, now: Micros) -> bool {
         let was_avoided = now < self.avoid_until;
-        self.heard_at = now;
-        self.signs = 0;
-        self.avoid_until = Micros(0);
+        *self = Self {
+            heard_at: now,
+            ..Self::default()
+        };
         was_avoided
     }
 
-    /// A packet sent at `asked_at` has no answer. Returns whether silence is certain now, or
-    /// nothing when the target was heard since.
+    /// A packet sent at `asked_at` has no answer. Returns the number of such packets, or nothing
+    /// when the target was heard since.
     pub fn miss(
         &mut self,
         now: Micros,
+        asked: Asked,
         asked_at: Micros,
         doubt: Millis,
         avoid: Millis,
-    ) -> Option<bool> {
+    ) -> Option<u32> {
         if asked_at < self.heard_at {
             return None;
         }
         self.signs = self.signs.saturating_add(1);
-        let span = if self.signs >= CERTAIN_SIGNS { avoid } else { doubt };
+        if asked == Asked::Request {
+            self.requests = self.requests.saturating_add(1);
+            self.request_at = now;
+        }
+        let span = if self.signs >= CERTAIN_SIGNS {
+            avoid
+        } else {
+            doubt
+        };
         self.avoid_until = self.avoid_until.max(now + span);
-        Some(self.is_certain())
-    }
-
-    /// Tells whether the target gets no new flows.
-    pub fn is_avoided(&self, now: Micros) -> bool {
-        now < self.avoid_until
+        Some(self.signs)
     }
 
     /// Returns the last time a caller showed that it had heard from the target.
@@ -59,8 +85,13 @@
         self.heard_at
     }
 
-    /// Tells whether several packets in a row had no answer.
-    pub fn is_certain(&self) -> bool {
-        self.signs >= CERTAIN_SIGNS
+    /// Tells whether the target gets no new flows.
+    pub fn is_avoided(&self, now: Micros) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Tells whether the target's open flows count as dead.
+    pub fn is_dead(&self, now: Micros) -> bool {
+        self.requests >= DEAD_SIGNS && now.since(self.request_at) <= DEAD_MEMORY
     }
 }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -12,6 +12,7 @@
 use crate::packet::{FlowId, Kind, Segment, Token};
 use crate::place::place;
 use crate::settings::Settings;
+use crate::silence::Asked;
 use crate::view::{Effect, Standing, View};
 
 /// Multiple of the slowest recent handshake after which an opening packet counts as unanswered.
@@ -21,10 +22,6 @@
 /// a hundred handshakes long.
 const HANDSHAKE_DECAY: u64 = 63;
 
-/// Silence of a target after which flows of idempotent requests are reset, so that their callers
-/// open new ones. Callers resend after 200 ms, so that a live target is heard within twice that.
-const DEAD_AFTER: Millis = Millis(400);
-
 /// Time within which another target has to be heard; otherwise the fault may be on this side.
 const OTHERS_HEARD_WITHIN: Millis = Millis(200);
 
@@ -146,12 +143,12 @@
         flow: FlowId,
         /// Time since the packet was first sent.
         waited: Millis,
-        /// Whether the flow was still to be opened.
-        is_opening: bool,
+        /// What the packet asked for.
+        asked: Asked,
         /// Time since a caller last showed that it had heard from the target.
         heard_before: Millis,
-        /// Whether silence is certain from now on.
-        is_certain: bool,
+        /// Packets without an answer since then.
+        signs: u32,
     },
     /// An avoided target answered.
     HeardAgain {
@@ -321,7 +318,7 @@
             return None;
         };
         let before = flow.target;
-        self.miss(now, before, sent_at, id, true);
+        self.miss(now, before, sent_at, id, Asked::Opening);
         let route = self.view.route(id.entry)?;
         let service = self.view.service_of(route, id)?;
         let next = place(
@@ -398,8 +395,7 @@
         if matches!(member.standing, Standing::Gone(_)) {
             return Some(Refusal::TargetGone);
         }
-        let is_dead = member.silence.is_certain()
-            && now.since(member.silence.heard_at()) > DEAD_AFTER
+        let is_dead = member.silence.is_dead(now)
             && now.since(self.heard_at) < OTHERS_HEARD_WITHIN;
         is_dead.then_some(Refusal::TargetSilent)
     }
@@ -454,7 +450,7 @@
             }
             Progress::Resent { asked_at } => {
                 if !std::mem::replace(&mut flow.is_missed, true) {
-                    self.miss(now, id, asked_at, &segment.flow, false);
+                    self.miss(now, id, asked_at, &segment.flow, Asked::Request);
                 }
             }
         }
@@ -476,21 +472,21 @@
         id: TargetId,
         asked_at: Micros,
         flow: &FlowId,
-        is_opening: bool,
+        asked: Asked,
     ) {
         let (doubt, avoid) = (self.settings.doubt, self.settings.avoid);
         let Some(member) = self.view.member_mut(id) else {
             return;
         };
         let heard_before = now.since(member.silence.heard_at());
-        if let Some(is_certain) = member.silence.miss(now, asked_at, doubt, avoid) {
+        if let Some(signs) = member.silence.miss(now, asked, asked_at, doubt, avoid) {
             self.notes.push(Note::Missed {
                 target: id,
                 flow: *flow,
                 waited: now.since(asked_at),
-                is_opening,
+                asked,
                 heard_before,
-                is_certain,
+                signs,
             });
         }
     }
