Gather changes of the store, and count only waiting requests as busy

Change: the next watch waits a fifth of the shortest bound on changes; a target is busy by its waiting requests alone.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -15,8 +15,9 @@
 /// be sooner than a configuration has to be in force.
 const WATCH_WAIT: Millis = Millis(4_000);
 
-/// Time to gather changes before the next watch, since each watch costs a call.
-const GATHER: Duration = Duration::from_millis(100);
+/// Share of the shortest bound on changes for which they are gathered before the next watch, since
+/// each watch costs a call. The rest is left for a slow store and a second attempt.
+const GATHER_SHARE: u64 = 5;
 
 /// First and longest pause after a failed call. Calls are priced also when they are refused, and
 /// the store is back within seconds.
@@ -50,13 +51,23 @@
     log: Logger,
     lost_at: Option<Instant>,
     pause: Duration,
+    gather: Duration,
     random: SmallRng,
 }
 
 impl Reader {
     /// Creates a reader that passes what it learns to `feeds`.
-    pub fn new(store: Store, feeds: flume::Sender<Feed>, metrics: Metrics, log: Logger) -> Self {
+    ///
+    /// `change_limit` is the time within which a change has to be in force.
+    pub fn new(
+        store: Store,
+        change_limit: Millis,
+        feeds: flume::Sender<Feed>,
+        metrics: Metrics,
+        log: Logger,
+    ) -> Self {
         Self {
+            gather: Duration::from_millis(change_limit.0 / GATHER_SHARE),
             store,
             feeds,
             metrics,
@@ -131,7 +142,7 @@
             updates: changes.updates,
         });
         if is_news {
-            tokio::time::sleep(GATHER).await;
+            tokio::time::sleep(self.gather).await;
         }
         Ok(revision)
     }
--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -79,7 +79,7 @@
         let metrics = Metrics::new()?;
         let (queue, feeds) = flume::unbounded();
         let store = Store::new(settings.store)?;
-        tokio::spawn(Reader::new(store, queue, metrics.clone(), log.clone()).run());
+        tokio::spawn(Reader::new(store, settings.change_limit, queue, metrics.clone(), log.clone()).run());
         let (usable, has_view) = watch::channel(false);
         let (stopping, is_stopping) = watch::channel(false);
         spawn_server(&log, http::serve_ready(settings.ready, platform::READY_PATH, has_view, is_stopping));
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -76,7 +76,7 @@
     let load = (requests + 1.0) * slowness / slots;
     Rank {
         is_avoided: member.silence.is_avoided(now),
-        is_busy: load > settings.busy_per_slot,
+        is_busy: (member.waiting as f32 + 1.0) * slowness > settings.busy_per_slot * slots,
         is_remote,
         load,
     }
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -24,8 +24,8 @@
     /// Time for which a target whose report disappeared without a drain stays in use. Reports
     /// that were lost with the store's own failure are back by then.
     pub lapse: Millis,
-    /// Requests per slot from which a target counts as busy, so that another failure domain
-    /// serves sooner despite the longer way.
+    /// Requests per slot above which a target counts as busy, so that another failure domain
+    /// serves sooner despite the longer way, whose bytes cost.
     pub busy_per_slot: f32,
     /// Time after which an unanswered request no longer counts as load.
     pub max_request: Millis,
@@ -43,7 +43,7 @@
             doubt: Millis(500),
             avoid: Millis(4_000),
             lapse: Millis(2_000),
-            busy_per_slot: 2.0,
+            busy_per_slot: 3.0,
             max_request: Millis(2_000),
             flow_life: Millis(60_000),
         }
