Let one instance of each failure domain read the store for the others

Change: instances meet over the seeds; each follows the best peer it knows, by link and hash, and reads the store itself when there is none, when the peer falls silent for 1.5 s or when the peer's own source does not answer.

--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -7,7 +7,7 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let wire = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wire");
     let proto = wire.join("proto");
-    let descriptors = protox::compile(["control.proto"], [&proto])?;
+    let descriptors = protox::compile(["control.proto", "steering.proto"], [&proto])?;
     tonic_prost_build::configure()
         .out_dir(wire.join("src/generated"))
         .compile_fds(descriptors)?;
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -1,5 +1,7 @@
-//! Reading the store: a complete reading, then one watch for everything.
+//! Where the view comes from: the store itself, or a peer that reads it.
 
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use ids::Millis;
@@ -7,9 +9,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
-use steer::Update;
+use steer::{Peers, Update};
 
+use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::peer::Followed;
+use crate::relay::{self, HEARTBEAT, Relayed, locked};
 
 /// Longest wait of one watch. A connection that went silent is noticed when it ends, which has to
 /// be sooner than a configuration has to be in force.
@@ -24,6 +29,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Missing heartbeats after which a peer counts as silent.
+const MISSED_HEARTBEATS: u32 = 3;
+
 /// What the packet loop learns of the store.
 #[derive(Debug)]
 pub enum Feed {
@@ -43,35 +51,50 @@
     },
 }
 
-/// Reads the store for as long as the process runs.
+/// What a reader works with.
+pub struct Sources {
+    /// Client of the store.
+    pub store: Store,
+    /// Known peers.
+    pub peers: Arc<Mutex<Peers>>,
+    /// What is told to peers.
+    pub relay: Relayed,
+    /// Time within which a change has to be in force.
+    pub change_limit: Millis,
+    /// Clock of the peers' table.
+    pub clock: Clock,
+}
+
+/// Keeps the view up to date for as long as the process runs.
 pub struct Reader {
-    store: Store,
+    sources: Sources,
     feeds: flume::Sender<Feed>,
     metrics: Metrics,
     log: Logger,
+    /// Revision of the view, once there is one.
+    revision: Option<u64>,
+    /// Whether everything has to be read again.
+    is_behind: bool,
     lost_at: Option<Instant>,
     pause: Duration,
-    gather: Duration,
     random: SmallRng,
 }
 
 impl Reader {
     /// Creates a reader that passes what it learns to `feeds`.
-    ///
-    /// `change_limit` is the time within which a change has to be in force.
     pub fn new(
-        store: Store,
-        change_limit: Millis,
+        sources: Sources,
         feeds: flume::Sender<Feed>,
         metrics: Metrics,
         log: Logger,
     ) -> Self {
         Self {
-            gather: Duration::from_millis(change_limit.0 / GATHER_SHARE),
-            store,
+            sources,
             feeds,
             metrics,
             log,
+            revision: None,
+            is_behind: true,
             lost_at: None,
             pause: FIRST_PAUSE,
             random: SmallRng::from_os_rng(),
@@ -80,39 +103,46 @@
 
     /// Runs until the packet loop ends.
     pub async fn run(mut self) {
-        let mut revision = None;
         while !self.feeds.is_disconnected() {
-            let result = match revision {
-                None => self.read().await,
-                Some(after) => self.watch(after).await,
+            if let Some(leader) = self.leader() {
+                self.follow(leader).await;
+                continue;
+            }
+            let result = match self.revision {
+                Some(after) if !self.is_behind => self.watch(after).await,
+                _ => self.read().await,
             };
             match result {
-                Ok(next) => {
-                    self.regained();
-                    revision = Some(next);
-                }
+                Ok(()) => self.regained(),
                 Err(Error::Compacted { peer }) => {
-                    self.metrics.store_calls.with_label_values(&["compacted"]).inc();
+                    self.count("compacted");
                     info!(self.log, "history is gone, reading again"; "step" => "store",
-                        "peer" => peer, "revision" => revision);
-                    revision = None;
+                        "peer" => peer, "revision" => self.revision);
+                    self.is_behind = true;
                 }
                 Err(error) => self.failed(&error).await,
             }
         }
     }
 
+    /// Returns the peer to follow. The first view comes from the store, which answers sooner than
+    /// peers that start at the same time.
+    fn leader(&self) -> Option<SocketAddr> {
+        self.revision?;
+        locked(&self.sources.peers).leader(self.sources.clock.now())
+    }
+
     /// Reads every page. Pages are read at different revisions, so the watch that follows starts
     /// from the first one's.
-    async fn read(&mut self) -> platform::Result<u64> {
+    async fn read(&mut self) -> platform::Result<()> {
         let mut all = Vec::new();
         let mut revision = None;
         let mut after: Option<String> = None;
         loop {
             let began = Instant::now();
-            let page = self.store.page(after.as_deref()).await?;
+            let page = self.sources.store.page(after.as_deref()).await?;
             self.metrics.store_call.observe(began.elapsed().as_secs_f64());
-            self.metrics.store_calls.with_label_values(&["page"]).inc();
+            self.count("page");
             self.tell_refused(&page.refused);
             revision.get_or_insert(page.revision);
             all.extend(page.updates);
@@ -124,27 +154,78 @@
         let revision = revision.unwrap_or_default();
         info!(self.log, "store read"; "step" => "store", "revision" => revision,
             "items" => all.len());
-        self.pass(Feed::Reading {
-            revision,
-            updates: all,
-        });
-        Ok(revision)
+        self.is_behind = false;
+        self.replace(revision, all);
+        Ok(())
     }
 
-    async fn watch(&mut self, after: u64) -> platform::Result<u64> {
-        let changes = self.store.watch(after, WATCH_WAIT).await?;
-        self.metrics.store_calls.with_label_values(&["watch"]).inc();
+    async fn watch(&mut self, after: u64) -> platform::Result<()> {
+        let changes = self.sources.store.watch(after, WATCH_WAIT).await?;
+        self.count("watch");
         self.tell_refused(&changes.refused);
-        let revision = changes.revision.max(after);
         let is_news = !changes.updates.is_empty();
-        self.pass(Feed::Changes {
-            revision,
-            updates: changes.updates,
-        });
+        self.update(changes.revision, changes.updates);
         if is_news {
-            tokio::time::sleep(self.gather).await;
+            let gather = self.sources.change_limit.0 / GATHER_SHARE;
+            tokio::time::sleep(Duration::from_millis(gather)).await;
+        }
+        Ok(())
+    }
+
+    /// Follows a peer until it fails or a better one is known.
+    async fn follow(&mut self, leader: SocketAddr) {
+        match self.follow_while_current(leader, false).await {
+            Ok(()) => {}
+            Err(reason) => {
+                info!(self.log, "peer lost"; "step" => "follow", "peer" => %leader,
+                    "reason" => reason);
+                locked(&self.sources.peers).shun(self.sources.clock.now(), leader);
+            }
+        }
+    }
+
+    async fn follow_while_current(
+        &mut self,
+        peer: SocketAddr,
+        only_once: bool,
+    ) -> Result<(), String> {
+        let revision = self.revision.filter(|_| !self.is_behind).unwrap_or(0);
+        let mut followed = Followed::start(peer, revision).await?;
+        info!(self.log, "peer followed"; "step" => "follow", "peer" => %peer,
+            "revision" => revision);
+        loop {
+            let part = followed.next(HEARTBEAT * MISSED_HEARTBEATS).await?;
+            let updates = relay::decode(&part).map_err(|error| error.to_string())?;
+            if part.is_complete {
+                self.is_behind = false;
+                self.replace(part.revision, updates);
+            } else {
+                self.update(part.revision, updates);
+            }
+            if only_once {
+                return Ok(());
+            }
+            if !part.is_current {
+                return Err("the peer's own source does not answer".to_owned());
+            }
+            self.regained();
+            if self.leader() != Some(peer) {
+                return Ok(());
+            }
         }
-        Ok(revision)
+    }
+
+    fn replace(&mut self, revision: u64, updates: Vec<Update>) {
+        self.revision = Some(revision);
+        self.sources.relay.replace(revision, &updates);
+        self.pass(Feed::Reading { revision, updates });
+    }
+
+    fn update(&mut self, revision: u64, updates: Vec<Update>) {
+        let revision = revision.max(self.revision.unwrap_or(0));
+        self.revision = Some(revision);
+        self.sources.relay.update(revision, &updates);
+        self.pass(Feed::Changes { revision, updates });
     }
 
     fn pass(&self, feed: Feed) {
@@ -152,6 +233,10 @@
         let _ = self.feeds.send(feed);
     }
 
+    fn count(&self, outcome: &str) {
+        self.metrics.store_calls.with_label_values(&[outcome]).inc();
+    }
+
     fn tell_refused(&self, refused: &[Error]) {
         for error in refused {
             warn!(self.log, "value refused"; "step" => "store", "reason" => %error);
@@ -160,20 +245,37 @@
 
     fn regained(&mut self) {
         self.pause = FIRST_PAUSE;
+        self.sources.relay.set_current(true);
         if let Some(since) = self.lost_at.take() {
-            info!(self.log, "store regained"; "step" => "store",
+            info!(self.log, "source regained"; "step" => "store",
                 "away_ms" => since.elapsed().as_millis() as u64);
         }
     }
 
     async fn failed(&mut self, error: &Error) {
-        self.metrics.store_calls.with_label_values(&["failed"]).inc();
+        self.count("failed");
+        self.sources.relay.set_current(false);
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             warn!(self.log, "store lost"; "step" => "store", "reason" => %error);
         }
+        if self.revision.is_none() {
+            self.borrow_view().await;
+        }
         let jitter = self.random.random_range(0.75..1.25);
         tokio::time::sleep(self.pause.mul_f64(jitter)).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
+
+    /// Takes a first view from a peer, since the store does not answer.
+    async fn borrow_view(&mut self) {
+        let Some(peer) = locked(&self.sources.peers).any(self.sources.clock.now()) else {
+            return;
+        };
+        if let Err(reason) = self.follow_while_current(peer, true).await {
+            info!(self.log, "no view from peer"; "step" => "follow", "peer" => %peer,
+                "reason" => reason);
+            locked(&self.sources.peers).shun(self.sources.clock.now(), peer);
+        }
+    }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,12 +4,15 @@
 //! store and answer over HTTP. See [running on the platform](../../../docs/platform.md).
 
 mod budget;
+mod clock;
 mod error;
 mod feed;
 mod http;
 pub mod life;
 mod metrics;
 mod packets;
+mod peer;
+mod relay;
 mod tell;
 
 pub use error::{Error, Result};
--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -2,6 +2,8 @@
 //!
 //! Each state is a type of its own, so that a step out of order does not compile.
 
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use ids::Millis;
@@ -9,15 +11,19 @@
 use rand::rngs::SmallRng;
 use rand::{RngCore, SeedableRng};
 use slog::{Logger, info, warn};
-use steer::Steer;
+use steer::{Peer, Peers, Steer};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use wire::steering::relay_server::RelayServer;
 
-use crate::feed::{Feed, Reader};
+use crate::clock::Clock;
+use crate::feed::{Feed, Reader, Sources};
 use crate::http;
 use crate::metrics::Metrics;
 use crate::packets::PacketLoop;
+use crate::peer::meet_peers;
+use crate::relay::Relayed;
 use crate::{Error, Result};
 
 /// Time for which a stopping instance goes on forwarding. Routers take it out of rotation after two
@@ -77,9 +83,23 @@
         let Self { state, log } = self;
         let Starting { socket, settings } = state;
         let metrics = Metrics::new()?;
+        let clock = Clock::start();
         let (queue, feeds) = flume::unbounded();
-        let store = Store::new(settings.store)?;
-        tokio::spawn(Reader::new(store, settings.change_limit, queue, metrics.clone(), log.clone()).run());
+        let peers = Arc::new(Mutex::new(Peers::new(own_peer(&settings))));
+        let relay = Relayed::new(peers.clone(), clock, log.clone());
+        let sources = Sources {
+            store: Store::new(settings.store)?,
+            peers: peers.clone(),
+            relay: relay.clone(),
+            change_limit: settings.change_limit,
+            clock,
+        };
+        tokio::spawn(Reader::new(sources, queue, metrics.clone(), log.clone()).run());
+        if let Some(address) = settings.peer {
+            spawn_server(&log, serve_peers(address, relay));
+            let seeds = settings.seeds.clone();
+            tokio::spawn(meet_peers(peers, seeds, clock, log.clone()));
+        }
         let (usable, has_view) = watch::channel(false);
         let (stopping, is_stopping) = watch::channel(false);
         spawn_server(&log, http::serve_ready(settings.ready, platform::READY_PATH, has_view, is_stopping));
@@ -95,7 +115,7 @@
         info!(log, "started"; "step" => "start", "packets" => %settings.packets,
             "ready" => %settings.ready, "metrics" => %settings.metrics,
             "store" => %settings.store);
-        let packets = PacketLoop::new(socket, steer, metrics, log.clone(), usable);
+        let packets = PacketLoop::new(socket, steer, metrics, clock, log.clone(), usable);
         Ok(Daemon {
             state: Serving {
                 packets,
@@ -108,6 +128,26 @@
     }
 }
 
+/// Returns what peers learn of this instance. Without an address of its own it is never followed.
+fn own_peer(settings: &Settings) -> Peer {
+    Peer {
+        address: settings.peer.unwrap_or(settings.ready),
+        domain: settings.domain.as_str().into(),
+        link_kbps: settings.link_kbps,
+    }
+}
+
+async fn serve_peers(address: SocketAddr, relay: Relayed) -> Result<()> {
+    tonic::transport::Server::builder()
+        .add_service(RelayServer::new(relay))
+        .serve(address)
+        .await
+        .map_err(|error| Error::Failed {
+            step: "serving peers",
+            reason: error.to_string(),
+        })
+}
+
 fn spawn_server(log: &Logger, server: impl Future<Output = Result<()>> + Send + 'static) {
     let log = log.clone();
     tokio::spawn(async move {
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -3,13 +3,13 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-use ids::Micros;
 use platform::packet;
 use slog::{Logger, warn};
 use steer::{Destination, Steer, Verdict};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use crate::clock::Clock;
 use crate::feed::Feed;
 use crate::metrics::Metrics;
 use crate::tell::Teller;
@@ -30,7 +30,7 @@
     teller: Teller,
     metrics: Metrics,
     log: Logger,
-    start: Instant,
+    clock: Clock,
     confirmed_at: Instant,
     ready: watch::Sender<bool>,
     buffer: [u8; BUFFER_BYTES],
@@ -42,36 +42,29 @@
         socket: UdpSocket,
         steer: Steer,
         metrics: Metrics,
+        clock: Clock,
         log: Logger,
         ready: watch::Sender<bool>,
     ) -> Self {
-        let now = Instant::now();
         Self {
             socket,
             steer,
             teller: Teller::new(log.clone(), metrics.clone()),
             metrics,
             log,
-            start: now,
-            confirmed_at: now,
+            clock,
+            confirmed_at: Instant::now(),
             ready,
             buffer: [0; BUFFER_BYTES],
         }
     }
 
-    fn now(&self) -> Micros {
-        Micros(self.start.elapsed().as_micros() as u64)
-    }
-
     /// Runs until `stop` ends. Packets that arrive before the first view wait in the socket.
     pub async fn run(&mut self, feeds: &flume::Receiver<Feed>, stop: impl Future<Output = ()>) {
         tokio::pin!(stop);
         let mut sweep_at = Instant::now() + SWEEP;
         loop {
-            let due = self
-                .steer
-                .next_due()
-                .map(|due| self.start + Duration::from_micros(due.0));
+            let due = self.steer.next_due().map(|due| self.clock.instant(due));
             let wake_at = due.map_or(sweep_at, |due| due.min(sweep_at));
             let is_usable = self.steer.view().is_usable();
             tokio::select! {
@@ -118,7 +111,7 @@
             self.metrics.dropped.with_label_values(&["malformed"]).inc();
             return;
         };
-        let now = Micros(self.start.elapsed().as_micros() as u64);
+        let now = self.clock.now();
         match self.steer.on_segment(now, &segment, bytes) {
             Verdict::Forward { to, token } => {
                 if let Some(token) = token {
@@ -162,7 +155,7 @@
     }
 
     fn take(&mut self, feed: Feed) {
-        let now = self.now();
+        let now = self.clock.now();
         self.confirmed_at = Instant::now();
         match feed {
             Feed::Reading { revision, updates } => self.steer.replace_view(now, revision, updates),
@@ -174,7 +167,7 @@
     }
 
     fn on_timer(&mut self) {
-        let now = self.now();
+        let now = self.clock.now();
         let mut resends = Vec::new();
         self.steer.on_timer(now, |resend| resends.push(resend));
         for mut resend in resends {
@@ -187,7 +180,7 @@
     }
 
     fn sweep(&mut self) {
-        let now = self.now();
+        let now = self.clock.now();
         self.steer.sweep(now);
         self.metrics.flows.set(self.steer.flows() as i64);
         self.metrics.revision.set(self.steer.view().revision() as i64);
@@ -198,7 +191,7 @@
     }
 
     fn tell(&mut self) {
-        let now = self.now();
+        let now = self.clock.now();
         let mut notes = self.steer.take_notes();
         for note in notes.drain(..) {
             self.teller.tell(now, self.steer.view(), note);
--- /dev/null
+++ b/crates/edge/src/peer.rs
@@ -0,0 +1,143 @@
+//! Calls to peers: meeting them and following their view.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ids::Millis;
+use slog::{Logger, debug};
+use steer::{Peer, Peers};
+use tonic::transport::{Channel, Endpoint};
+use wire::steering::relay_client::RelayClient;
+use wire::steering::{FollowRequest, MeetRequest, Peer as WirePeer, ViewPart};
+
+use crate::clock::Clock;
+use crate::relay::locked;
+
+/// Time to connect to a peer and for a short answer; a peer is at most some milliseconds away.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Rounds of meeting after the start that follow each other quickly, since all instances of a
+/// failure domain often start together and the seeds learn of them only then.
+const FIRST_ROUNDS: u32 = 4;
+const FIRST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval of the rounds after that. A better peer is found within one.
+const INTERVAL: Duration = Duration::from_secs(5);
+
+/// Largest part of a view that is accepted: 75,000 targets of some 60 bytes with room to spare.
+const MAX_PART_BYTES: usize = 32 << 20;
+
+/// Encodes a peer with the time since it was heard.
+pub fn encode(peer: &Peer, age: Millis) -> WirePeer {
+    WirePeer {
+        address: peer.address.to_string(),
+        domain: peer.domain.to_string(),
+        link_kbps: peer.link_kbps,
+        heard_ms: age.0,
+    }
+}
+
+/// Decodes a peer with the time since it was heard, or nothing when its address is none.
+pub fn decode(peer: &WirePeer) -> Option<(Peer, Millis)> {
+    let decoded = Peer {
+        address: peer.address.parse().ok()?,
+        domain: peer.domain.as_str().into(),
+        link_kbps: peer.link_kbps,
+    };
+    Some((decoded, Millis(peer.heard_ms)))
+}
+
+async fn connect(address: SocketAddr) -> Result<RelayClient<Channel>, tonic::transport::Error> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?.connect_timeout(CALL_TIMEOUT);
+    let channel = endpoint.connect().await?;
+    Ok(RelayClient::new(channel).max_decoding_message_size(MAX_PART_BYTES))
+}
+
+/// Meets the seeds and the peer that is followed, again and again.
+pub async fn meet_peers(
+    peers: Arc<Mutex<Peers>>,
+    seeds: Vec<SocketAddr>,
+    clock: Clock,
+    log: Logger,
+) {
+    let own = locked(&peers).own().clone();
+    for round in 0_u32.. {
+        let mut callees = seeds.clone();
+        callees.extend(locked(&peers).leader(clock.now()));
+        callees.retain(|address| *address != own.address);
+        callees.sort_unstable();
+        callees.dedup();
+        let calls: Vec<_> = callees
+            .into_iter()
+            .map(|address| {
+                let (peers, own, log) = (peers.clone(), own.clone(), log.clone());
+                tokio::spawn(async move {
+                    let call = tokio::time::timeout(CALL_TIMEOUT, meet(address, &own));
+                    match call.await {
+                        Ok(Ok(named)) => {
+                            let mut peers = locked(&peers);
+                            for (peer, age) in named {
+                                peers.learn(peer, clock.now() - age);
+                            }
+                        }
+                        Ok(Err(error)) => debug!(log, "peer not met"; "step" => "meet",
+                            "peer" => %address, "reason" => error),
+                        Err(_) => debug!(log, "peer not met"; "step" => "meet",
+                            "peer" => %address, "reason" => "no answer in time"),
+                    }
+                })
+            })
+            .collect();
+        for call in calls {
+            // A call that panicked has told nothing; the others count.
+            let _ = call.await;
+        }
+        locked(&peers).expire(clock.now());
+        let pause = if round < FIRST_ROUNDS { FIRST_INTERVAL } else { INTERVAL };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn meet(address: SocketAddr, own: &Peer) -> Result<Vec<(Peer, Millis)>, String> {
+    let mut client = connect(address).await.map_err(|error| error.to_string())?;
+    let request = MeetRequest {
+        caller: Some(encode(own, Millis(0))),
+    };
+    let reply = client.meet(request).await.map_err(|status| status.to_string())?;
+    Ok(reply.into_inner().peers.iter().filter_map(decode).collect())
+}
+
+/// A view that a peer streams.
+pub struct Followed {
+    parts: tonic::Streaming<ViewPart>,
+}
+
+impl Followed {
+    /// Starts to follow a peer from a revision.
+    pub async fn start(address: SocketAddr, revision: u64) -> Result<Self, String> {
+        let call = async {
+            let mut client = connect(address).await.map_err(|error| error.to_string())?;
+            client
+                .follow(FollowRequest { revision })
+                .await
+                .map_err(|status| status.to_string())
+        };
+        let response = tokio::time::timeout(2 * CALL_TIMEOUT, call)
+            .await
+            .map_err(|_| "no answer in time".to_owned())??;
+        Ok(Self {
+            parts: response.into_inner(),
+        })
+    }
+
+    /// Waits for the next part.
+    pub async fn next(&mut self, limit: Duration) -> Result<ViewPart, String> {
+        match tokio::time::timeout(limit, self.parts.message()).await {
+            Ok(Ok(Some(part))) => Ok(part),
+            Ok(Ok(None)) => Err("the peer ended the stream".to_owned()),
+            Ok(Err(status)) => Err(status.to_string()),
+            Err(_) => Err("the peer fell silent".to_owned()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,232 @@
+//! What this instance tells its peers: what the store published, as it learns it.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hashbrown::HashMap;
+use ids::Millis;
+use slog::{Logger, info};
+use steer::{Change, Peers, TargetId, Update};
+use tokio::sync::broadcast;
+use tokio_stream::Stream;
+use tonic::{Request, Response, Status};
+use wire::steering::relay_server::Relay;
+use wire::steering::{FollowRequest, MeetReply, MeetRequest, ViewPart};
+
+use crate::clock::Clock;
+use crate::peer;
+
+/// Interval of parts without news. A follower takes three missing ones as silence.
+pub const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Parts that wait for a slow follower; beyond them it starts again from a complete one.
+const QUEUE_PARTS: usize = 64;
+
+/// Everything published, as it was last told.
+#[derive(Debug, Default)]
+struct Published {
+    revision: u64,
+    is_current: bool,
+    document: Option<Update>,
+    targets: HashMap<TargetId, Update>,
+}
+
+/// The part of an instance that its peers call.
+#[derive(Debug, Clone)]
+pub struct Relayed {
+    published: Arc<Mutex<Published>>,
+    parts: broadcast::Sender<ViewPart>,
+    peers: Arc<Mutex<Peers>>,
+    clock: Clock,
+    log: Logger,
+}
+
+/// Takes a lock. A panic elsewhere leaves consistent data, since every change is a single insert.
+pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Relayed {
+    /// Creates a relay that has nothing to tell yet.
+    pub fn new(peers: Arc<Mutex<Peers>>, clock: Clock, log: Logger) -> Self {
+        Self {
+            published: Arc::default(),
+            parts: broadcast::Sender::new(QUEUE_PARTS),
+            peers,
+            clock,
+            log,
+        }
+    }
+
+    /// Takes everything published at a revision.
+    pub fn replace(&self, revision: u64, updates: &[Update]) {
+        let mut published = locked(&self.published);
+        published.targets.clear();
+        for update in updates {
+            published.take(update);
+        }
+        published.revision = revision;
+        let part = published.complete();
+        drop(published);
+        self.send(part);
+    }
+
+    /// Takes changes up to a revision.
+    pub fn update(&self, revision: u64, updates: &[Update]) {
+        let mut published = locked(&self.published);
+        for update in updates {
+            published.take(update);
+        }
+        published.revision = published.revision.max(revision);
+        let part = ViewPart {
+            revision: published.revision,
+            is_complete: false,
+            is_current: published.is_current,
+            updates: encode(updates),
+        };
+        drop(published);
+        if !updates.is_empty() {
+            self.send(part);
+        }
+    }
+
+    /// Notes whether the source of this instance answers. Followers go elsewhere when it does not.
+    pub fn set_current(&self, is_current: bool) {
+        let mut published = locked(&self.published);
+        if published.is_current == is_current {
+            return;
+        }
+        published.is_current = is_current;
+        let part = published.heartbeat();
+        drop(published);
+        self.send(part);
+    }
+
+    fn send(&self, part: ViewPart) {
+        // Without followers nobody receives it.
+        let _ = self.parts.send(part);
+    }
+
+    /// Returns the first part for a follower that has a revision.
+    fn first_part(&self, revision: u64) -> Option<ViewPart> {
+        let published = locked(&self.published);
+        published.document.as_ref()?;
+        Some(if revision == published.revision {
+            published.heartbeat()
+        } else {
+            published.complete()
+        })
+    }
+}
+
+impl Published {
+    fn take(&mut self, update: &Update) {
+        match &update.change {
+            Change::Document(_) => self.document = Some(update.clone()),
+            Change::Target(target) => {
+                self.targets.insert(target.id, update.clone());
+            }
+            Change::TargetUnreadable(id) => {
+                self.targets.insert(*id, update.clone());
+            }
+            Change::TargetGone(id) => {
+                self.targets.remove(id);
+            }
+        }
+    }
+
+    fn heartbeat(&self) -> ViewPart {
+        ViewPart {
+            revision: self.revision,
+            is_complete: false,
+            is_current: self.is_current,
+            updates: Vec::new(),
+        }
+    }
+
+    fn complete(&self) -> ViewPart {
+        let updates: Vec<&Update> = self.document.iter().chain(self.targets.values()).collect();
+        ViewPart {
+            revision: self.revision,
+            is_complete: true,
+            is_current: self.is_current,
+            updates: encode(&updates),
+        }
+    }
+}
+
+fn encode<T: serde::Serialize + ?Sized>(updates: &T) -> Vec<u8> {
+    // Only types without a length or with too deep a nesting fail, and there are none.
+    postcard::to_allocvec(updates).unwrap_or_default()
+}
+
+/// Decodes the updates of a part.
+pub fn decode(part: &ViewPart) -> Result<Vec<Update>, postcard::Error> {
+    if part.updates.is_empty() {
+        return Ok(Vec::new());
+    }
+    postcard::from_bytes(&part.updates)
+}
+
+#[tonic::async_trait]
+impl Relay for Relayed {
+    async fn meet(&self, request: Request<MeetRequest>) -> Result<Response<MeetReply>, Status> {
+        let caller = request
+            .into_inner()
+            .caller
+            .as_ref()
+            .and_then(peer::decode)
+            .ok_or_else(|| Status::invalid_argument("no caller with a valid address"))?;
+        let now = self.clock.now();
+        let mut peers = locked(&self.peers);
+        let named = peers.best(now, &caller.0.domain);
+        let own = peers.own().clone();
+        peers.learn(caller.0, now);
+        drop(peers);
+        let own = std::iter::once((own, Millis(0)));
+        Ok(Response::new(MeetReply {
+            peers: own.chain(named).map(|(peer, age)| peer::encode(&peer, age)).collect(),
+        }))
+    }
+
+    type FollowStream = Pin<Box<dyn Stream<Item = Result<ViewPart, Status>> + Send>>;
+
+    async fn follow(
+        &self,
+        request: Request<FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let follower = request.remote_addr().map(|address| address.ip().to_string());
+        let news = self.parts.subscribe();
+        let first = self
+            .first_part(request.into_inner().revision)
+            .ok_or_else(|| Status::unavailable("no view yet"))?;
+        info!(self.log, "follower joined"; "step" => "relay", "peer" => follower,
+            "revision" => first.revision, "complete" => first.is_complete);
+        let (queue, parts) = flume::bounded(QUEUE_PARTS);
+        tokio::spawn(feed_follower(self.clone(), first, news, queue));
+        let stream = parts.into_stream();
+        Ok(Response::new(Box::pin(stream)))
+    }
+}
+
+/// Passes parts to one follower until it leaves or falls behind.
+async fn feed_follower(
+    relay: Relayed,
+    first: ViewPart,
+    mut news: broadcast::Receiver<ViewPart>,
+    queue: flume::Sender<Result<ViewPart, Status>>,
+) {
+    let mut part = first;
+    loop {
+        if queue.send_async(Ok(part)).await.is_err() {
+            return;
+        }
+        part = match tokio::time::timeout(HEARTBEAT, news.recv()).await {
+            Ok(Ok(part)) => part,
+            Ok(Err(_)) => return,
+            Err(_) => locked(&relay.published).heartbeat(),
+        };
+    }
+}
+
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -6,11 +6,12 @@
 //! the verdicts. See [running on the platform](../../../docs/platform.md).
 //!
 //! A packet is read in this order: [`packet`], [`steer`], [`flow`], [`place`], [`silence`];
-//! [`model`] and [`view`] hold what the configuration says.
+//! [`model`] and [`view`] hold what is published, [`peers`] decides who reads it.
 
 pub mod flow;
 pub mod model;
 pub mod packet;
+pub mod peers;
 pub mod place;
 pub mod settings;
 pub mod silence;
@@ -19,6 +20,7 @@
 
 pub use model::{Change, Document, Repeat, Route, Share, Target, TargetId, Update};
 pub use packet::{FlowId, Kind, Segment, Token};
+pub use peers::{Peer, Peers};
 pub use settings::Settings;
 pub use steer::{Destination, Drop, Note, Refusal, Resend, Steer, Verdict};
 pub use view::View;
--- /dev/null
+++ b/crates/steer/src/peers.rs
@@ -0,0 +1,146 @@
+//! Peers, and which of them reads the store for its failure domain.
+//!
+//! The store's calls are limited and priced, so in each failure domain one instance reads it and
+//! the others follow. There is no election: each instance follows the best peer that it knows,
+//! and an instance that knows no better one reads. Several readers do no harm beyond their calls.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
+use hashbrown::HashMap;
+use ids::{Micros, Millis, hash_of};
+use smol_str::SmolStr;
+
+/// Separates the hash that ranks peers from other uses of the hash.
+const RANK_SEED: u64 = 0x706f_6c6c_7261_6e6b;
+
+/// Time after which a peer that was not heard is forgotten; four rounds of meeting.
+const PEER_LIFE: Millis = Millis(20_000);
+
+/// Time for which a peer that failed is not followed. Meanwhile this instance reads by itself.
+const SHUN: Millis = Millis(3_000);
+
+/// Peers named to a caller; with the first ones gone it still finds one.
+const MAX_NAMED: usize = 4;
+
+/// Peers remembered. An instance remembers what it is asked by, and seeds are asked by many.
+const MAX_PEERS: usize = 4_096;
+
+/// What one instance knows of another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Address for other instances.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: SmolStr,
+    /// Bandwidth of its link in kilobits a second. Wide links relay for narrow ones.
+    pub link_kbps: u64,
+}
+
+impl Peer {
+    fn rank(&self) -> (Reverse<u64>, u64) {
+        let hash = hash_of(RANK_SEED, self.address.to_string().as_bytes());
+        (Reverse(self.link_kbps), hash)
+    }
+}
+
+#[derive(Debug)]
+struct Known {
+    peer: Peer,
+    heard_at: Micros,
+    shunned_until: Micros,
+}
+
+/// All peers that an instance knows.
+#[derive(Debug)]
+pub struct Peers {
+    own: Peer,
+    known: HashMap<SocketAddr, Known>,
+}
+
+impl Peers {
+    /// Creates a table that knows the instance itself only.
+    pub fn new(own: Peer) -> Self {
+        Self {
+            own,
+            known: HashMap::new(),
+        }
+    }
+
+    /// Returns the instance itself.
+    pub fn own(&self) -> &Peer {
+        &self.own
+    }
+
+    /// Takes news of a peer that was heard at a time, by this instance or by another.
+    pub fn learn(&mut self, peer: Peer, heard_at: Micros) {
+        if peer.address == self.own.address {
+            return;
+        }
+        if let Some(known) = self.known.get_mut(&peer.address) {
+            known.heard_at = known.heard_at.max(heard_at);
+            known.peer = peer;
+            return;
+        }
+        if self.known.len() < MAX_PEERS {
+            self.known.insert(
+                peer.address,
+                Known {
+                    peer,
+                    heard_at,
+                    shunned_until: Micros(0),
+                },
+            );
+        }
+    }
+
+    /// Stops following a peer for a while.
+    pub fn shun(&mut self, now: Micros, address: SocketAddr) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.shunned_until = now + SHUN;
+        }
+    }
+
+    /// Forgets peers that were not heard for long.
+    pub fn expire(&mut self, now: Micros) {
+        self.known
+            .retain(|_, known| now.since(known.heard_at) <= PEER_LIFE);
+    }
+
+    /// Returns the peer to follow, or nothing when this instance reads the store itself.
+    pub fn leader(&self, now: Micros) -> Option<SocketAddr> {
+        let own_rank = self.own.rank();
+        self.known
+            .values()
+            .filter(|known| known.peer.domain == self.own.domain && now >= known.shunned_until)
+            .map(|known| (known.peer.rank(), known.peer.address))
+            .filter(|(rank, _)| *rank < own_rank)
+            .min()
+            .map(|(_, address)| address)
+    }
+
+    /// Returns any peer that may have a view, the own failure domain's first. To be asked by an
+    /// instance that starts while the store is away.
+    pub fn any(&self, now: Micros) -> Option<SocketAddr> {
+        self.known
+            .values()
+            .filter(|known| now >= known.shunned_until)
+            .min_by_key(|known| (known.peer.domain != self.own.domain, known.peer.rank()))
+            .map(|known| known.peer.address)
+    }
+
+    /// Returns the best peers of a failure domain with the time since each was heard.
+    pub fn best(&self, now: Micros, domain: &str) -> Vec<(Peer, Millis)> {
+        let mut found: Vec<&Known> = self
+            .known
+            .values()
+            .filter(|known| known.peer.domain == domain)
+            .collect();
+        found.sort_by_key(|known| known.peer.rank());
+        found
+            .into_iter()
+            .take(MAX_NAMED)
+            .map(|known| (known.peer.clone(), now.since(known.heard_at)))
+            .collect()
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,8 @@
 //! Everything that knows how bytes look on the network.
 //!
 //! [`frame`] is the datagram between caller, instance and target; [`peer`] holds the messages
-//! between instances; [`control`] is the gRPC service between instances; [`token`] seals the route token that a caller echoes; [`seal`] authenticates
-//! peer messages. The rest of the workspace sees typed values only. The contract for callers and
+//! between instances; [`control`] and [`steering`] are the gRPC services between instances; [`token`]
+//! seals the route token that a caller echoes; [`seal`] authenticates peer messages. The rest of the workspace sees typed values only. The contract for callers and
 //! targets is in [the frame reference](../../../docs/frame.md).
 
 mod error;
@@ -14,6 +14,11 @@
 pub mod control;
 pub mod peer;
 pub mod seal;
+/// gRPC service between steering instances, generated from `proto/steering.proto`.
+#[allow(missing_docs, missing_debug_implementations, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/pollenpin.steering.v1.rs"]
+pub mod steering;
 pub mod token;
 
 pub use error::{Error, Result};
