Ask the store once after a lost peer, and never wait while it is away

Ruled out: a late gathering; the daemons' logs show timeouts of 4.75 s. Change: one call to the store after a lost peer; watches of a followed reader wait a third of the bound, calls to a store that is away do not wait.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -16,10 +16,21 @@
 use crate::peer::Followed;
 use crate::relay::{self, HEARTBEAT, Relayed, locked};
 
-/// Longest wait of one watch. A connection that went silent is noticed when it ends, which has to
-/// be sooner than a configuration has to be in force.
+/// Longest wait of one watch while nobody follows. A connection that went silent is noticed when it
+/// ends, and until then this instance is cut off from the store anyway.
 const WATCH_WAIT: Millis = Millis(4_000);
 
+/// Share of the shortest bound on changes for which a watch waits while others follow. They may
+/// reach the store themselves, so they have to learn in time that this instance does not.
+const FOLLOWED_WAIT_SHARE: u64 = 3;
+
+/// Share of the shortest bound on changes within which the store has to answer. A store 60 times
+/// slower than usual still does.
+const ANSWER_SHARE: u64 = 4;
+
+/// Longest time for a page of a reading, which may hold a megabyte behind a narrow link.
+const LONGEST_PAGE: Duration = Duration::from_secs(5);
+
 /// Share of the shortest bound on changes for which they are gathered before the next watch, since
 /// each watch costs a call. The rest is left for a slow store and a second attempt.
 const GATHER_SHARE: u64 = 5;
@@ -75,8 +86,11 @@
     revision: Option<u64>,
     /// Whether everything has to be read again.
     is_behind: bool,
+    /// Whether a followed peer was lost, so that the view may be old.
+    is_doubtful: bool,
     lost_at: Option<Instant>,
     pause: Duration,
+    page_limit: Duration,
     random: SmallRng,
 }
 
@@ -89,12 +103,14 @@
         log: Logger,
     ) -> Self {
         Self {
+            page_limit: answer_limit(&sources),
             sources,
             feeds,
             metrics,
             log,
             revision: None,
             is_behind: true,
+            is_doubtful: false,
             lost_at: None,
             pause: FIRST_PAUSE,
             random: SmallRng::from_os_rng(),
@@ -126,9 +142,12 @@
     }
 
     /// Returns the peer to follow. The first view comes from the store, which answers sooner than
-    /// peers that start at the same time.
+    /// peers that start at the same time; and after the loss of a peer the store is asked once,
+    /// so that delays of several peers do not add up.
     fn leader(&self) -> Option<SocketAddr> {
-        self.revision?;
+        if self.revision.is_none() || self.is_doubtful {
+            return None;
+        }
         locked(&self.sources.peers).leader(self.sources.clock.now())
     }
 
@@ -140,7 +159,7 @@
         let mut after: Option<String> = None;
         loop {
             let began = Instant::now();
-            let page = self.sources.store.page(after.as_deref()).await?;
+            let page = self.sources.store.page(after.as_deref(), self.page_limit).await?;
             self.metrics.store_call.observe(began.elapsed().as_secs_f64());
             self.count("page");
             self.tell_refused(&page.refused);
@@ -160,7 +179,8 @@
     }
 
     async fn watch(&mut self, after: u64) -> platform::Result<()> {
-        let changes = self.sources.store.watch(after, WATCH_WAIT).await?;
+        let limit = answer_limit(&self.sources);
+        let changes = self.sources.store.watch(after, self.watch_wait(), limit).await?;
         self.count("watch");
         self.tell_refused(&changes.refused);
         let is_news = !changes.updates.is_empty();
@@ -172,6 +192,18 @@
         Ok(())
     }
 
+    fn watch_wait(&self) -> Millis {
+        // Calls that were sent while the store was away are not answered after its return either, so
+        // none of them may wait.
+        if self.is_doubtful || self.lost_at.is_some() {
+            return Millis(0);
+        }
+        if self.sources.relay.has_followers() {
+            return Millis(self.sources.change_limit.0 / FOLLOWED_WAIT_SHARE);
+        }
+        WATCH_WAIT
+    }
+
     /// Follows a peer until it fails or a better one is known.
     async fn follow(&mut self, leader: SocketAddr) {
         match self.follow_while_current(leader, false).await {
@@ -180,6 +212,7 @@
                 info!(self.log, "peer lost"; "step" => "follow", "peer" => %leader,
                     "reason" => reason);
                 locked(&self.sources.peers).shun(self.sources.clock.now(), leader);
+                self.is_doubtful = true;
             }
         }
     }
@@ -245,6 +278,8 @@
 
     fn regained(&mut self) {
         self.pause = FIRST_PAUSE;
+        self.page_limit = answer_limit(&self.sources);
+        self.is_doubtful = false;
         self.sources.relay.set_current(true);
         if let Some(since) = self.lost_at.take() {
             info!(self.log, "source regained"; "step" => "store",
@@ -255,6 +290,8 @@
     async fn failed(&mut self, error: &Error) {
         self.count("failed");
         self.sources.relay.set_current(false);
+        self.is_doubtful = false;
+        self.page_limit = (self.page_limit * 2).min(LONGEST_PAGE);
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             warn!(self.log, "store lost"; "step" => "store", "reason" => %error);
@@ -279,3 +316,8 @@
         }
     }
 }
+
+/// Returns the time within which the store has to answer.
+fn answer_limit(sources: &Sources) -> Duration {
+    Duration::from_millis(sources.change_limit.0 / ANSWER_SHARE)
+}
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -103,6 +103,11 @@
         self.send(part);
     }
 
+    /// Tells whether a peer follows this instance.
+    pub fn has_followers(&self) -> bool {
+        self.parts.receiver_count() > 0
+    }
+
     fn send(&self, part: ViewPart) {
         // Without followers nobody receives it.
         let _ = self.parts.send(part);
