--- /dev/null
+++ b/crates/edge/tests/kit/caller.rs
@@ -0,0 +1,131 @@
+//! Stand-in for a caller that opens flows and sends one packet a request.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use super::ENTRY;
+use super::target::packet::{ACK, Packet, RST, SYN};
+
+/// Interval of resends, as callers of the platform have it.
+const RESEND: Duration = Duration::from_millis(200);
+
+pub struct Caller {
+    socket: UdpSocket,
+    address: SocketAddrV4,
+    next_port: u16,
+}
+
+/// What the caller knows of a flow.
+#[derive(Debug, Clone)]
+pub struct Flow {
+    pub from: SocketAddrV4,
+    pub entry: SocketAddrV4,
+    pub echo: u32,
+    seq: u32,
+    ack: u32,
+}
+
+/// How a try ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ended {
+    Answered,
+    Reset,
+    Silent,
+}
+
+impl Caller {
+    pub async fn bind(address: SocketAddrV4) -> Self {
+        Self {
+            socket: UdpSocket::bind(address).await.unwrap(),
+            address,
+            next_port: 1_024,
+        }
+    }
+
+    /// Sends bytes that may be no packet.
+    pub async fn send_bytes(&self, via: SocketAddrV4, bytes: &[u8]) {
+        self.socket.send_to(bytes, via).await.unwrap();
+    }
+
+    /// Opens a flow; the opening packet is sent again twice.
+    pub async fn open(&mut self, via: SocketAddrV4) -> Result<Flow, Ended> {
+        self.open_to(via, ENTRY).await
+    }
+
+    pub async fn open_to(&mut self, via: SocketAddrV4, entry: SocketAddrV4) -> Result<Flow, Ended> {
+        self.next_port += 1;
+        let mut flow = Flow {
+            from: SocketAddrV4::new(*self.address.ip(), self.next_port),
+            entry,
+            echo: 0,
+            seq: 100,
+            ack: 0,
+        };
+        for resend in 0..3 {
+            flow.ack = resend;
+            self.send(via, &flow, SYN, &[]).await;
+            let Some(answer) = self.receive(&flow).await else {
+                continue;
+            };
+            if answer.flags & RST != 0 {
+                return Err(Ended::Reset);
+            }
+            assert_eq!(answer.flags, SYN | ACK);
+            flow.echo = answer.echo;
+            flow.seq = 101;
+            flow.ack = answer.seq + 1;
+            self.send(via, &flow, ACK, &[]).await;
+            return Ok(flow);
+        }
+        Err(Ended::Silent)
+    }
+
+    /// Sends a request over an open flow, three times at most.
+    pub async fn ask(&mut self, via: SocketAddrV4, flow: &mut Flow) -> Ended {
+        for _ in 0..3 {
+            self.send(via, flow, ACK, b"request").await;
+            let Some(answer) = self.receive(flow).await else {
+                continue;
+            };
+            if answer.flags & RST != 0 {
+                return Ended::Reset;
+            }
+            flow.seq = answer.ack;
+            flow.ack = answer.seq + answer.data.len() as u32;
+            self.send(via, flow, ACK, &[]).await;
+            return Ended::Answered;
+        }
+        Ended::Silent
+    }
+
+    async fn send(&self, via: SocketAddrV4, flow: &Flow, flags: u8, data: &[u8]) {
+        let packet = Packet {
+            echo: flow.echo,
+            seq: flow.seq,
+            ack: flow.ack,
+            to: flow.entry,
+            from: flow.from,
+            flags,
+            data: data.to_vec(),
+        };
+        self.send_bytes(via, &packet.encode()).await;
+    }
+
+    async fn receive(&self, flow: &Flow) -> Option<Packet> {
+        let mut buffer = [0; 2_048];
+        let until = tokio::time::Instant::now() + RESEND;
+        loop {
+            let received = self.socket.recv(&mut buffer);
+            let length = tokio::time::timeout_at(until, received)
+                .await
+                .ok()?
+                .unwrap();
+            let packet = Packet::decode(&buffer[..length]);
+            if packet.to == flow.from {
+                return Some(packet);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/kit/instance.rs
@@ -0,0 +1,127 @@
+//! A daemon as a process.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use super::{METRICS_PORT, PACKET_PORT, PEER_PORT, READY_PORT};
+
+pub struct Instance {
+    process: Child,
+    host: Ipv4Addr,
+    file: PathBuf,
+}
+
+impl Instance {
+    pub fn start(host: Ipv4Addr, seeds: &[Ipv4Addr], store: SocketAddr) -> Self {
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("edge-{host}.toml"));
+        std::fs::write(&file, settings(host, seeds, store)).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_pollenpin-edge"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self {
+            process,
+            host,
+            file,
+        }
+    }
+
+    pub fn packets(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.host, PACKET_PORT)
+    }
+
+    async fn get(&self, port: u16, path: &str) -> Option<(u16, String)> {
+        let url = format!("http://{}:{port}{path}", self.host);
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        let response = client.get(url).send().await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.text().await.ok()?))
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        matches!(self.get(READY_PORT, "/v1/ready").await, Some((200, _)))
+    }
+
+    pub async fn readiness(&self) -> Option<u16> {
+        self.get(READY_PORT, "/v1/ready")
+            .await
+            .map(|(status, _)| status)
+    }
+
+    /// Returns the sum of all series of a metric.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let Some((_, text)) = self.get(METRICS_PORT, "/metrics").await else {
+            return 0.0;
+        };
+        text.lines()
+            .filter(|line| !line.starts_with('#'))
+            .filter_map(|line| line.rsplit_once(' '))
+            .filter(|(series, _)| {
+                let metric = series.split('{').next().unwrap_or_default();
+                metric == format!("pollenpin_edge_{name}")
+            })
+            .filter_map(|(_, value)| value.parse::<f64>().ok())
+            .sum()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.process.id().to_string()])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    pub fn has_ended(&mut self) -> Option<i32> {
+        self.process
+            .try_wait()
+            .unwrap()
+            .map(|status| status.code().unwrap_or(-1))
+    }
+
+    pub fn kill(&mut self) {
+        // A process that has ended already needs no signal.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl std::ops::Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn settings(host: Ipv4Addr, seeds: &[Ipv4Addr], store: SocketAddr) -> String {
+    let seeds: Vec<String> = seeds
+        .iter()
+        .map(|seed| format!("\"{seed}:{PEER_PORT}\""))
+        .collect();
+    format!(
+        r#"
+node = "edge-{host}"
+zone = "a"
+ip = "{host}"
+seeds = [{}]
+internal-ports = [{METRICS_PORT}, {METRICS_PORT}]
+[listen]
+data-addr = "{host}:{PACKET_PORT}"
+ready = "{host}:{READY_PORT}"
+control = "{host}:{PEER_PORT}"
+[limits]
+link-mbps = 1000.0
+[bounds]
+grace-s = 6
+flow-ttl-s = 60
+config-deadline-ms = 3000
+drain-ms = 3000
+[platform]
+addr = "{store}"
+"#,
+        seeds.join(", ")
+    )
+}
--- /dev/null
+++ b/crates/edge/tests/kit/mod.rs
@@ -0,0 +1,129 @@
+//! Stand-ins for the platform around real daemons: a store, targets and a caller on loopback.
+//!
+//! Each test has a loopback network of its own, so that every process can use the same ports.
+
+#![allow(dead_code)]
+
+pub mod caller;
+pub mod instance;
+pub mod store;
+pub mod target;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use caller::Caller;
+use instance::Instance;
+use serde_json::json;
+use store::Store;
+use target::Target;
+
+/// Port for packets, the same on all instances and callers.
+pub const PACKET_PORT: u16 = 21_000;
+pub const READY_PORT: u16 = 21_001;
+pub const PEER_PORT: u16 = 21_002;
+pub const METRICS_PORT: u16 = 21_003;
+const STORE_PORT: u16 = 21_009;
+const TARGET_PORT: u16 = 8_000;
+
+/// Entry of the only route.
+pub const ENTRY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8_443);
+
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// One test's network.
+pub struct Net {
+    prefix: [u8; 2],
+    pub store: Store,
+    pub targets: Vec<Target>,
+    pub caller: Caller,
+}
+
+impl Net {
+    /// A store with one route and `count` targets in failure domain `a`.
+    pub async fn new(count: u8) -> Self {
+        let process = (std::process::id() % 250) as u8 + 2;
+        let prefix = [process, NEXT.fetch_add(1, Ordering::Relaxed)];
+        let store = Store::start(SocketAddr::from((host(prefix, 1), STORE_PORT))).await;
+        let caller = Caller::bind(SocketAddrV4::new(host(prefix, 100), PACKET_PORT)).await;
+        let mut net = Self {
+            prefix,
+            store,
+            targets: Vec::new(),
+            caller,
+        };
+        net.store.put("op/config", &document(1, &[ENTRY]));
+        for index in 0..count {
+            net.add_target(index).await;
+        }
+        net
+    }
+
+    pub async fn add_target(&mut self, index: u8) {
+        let address = SocketAddrV4::new(host(self.prefix, 50 + index), TARGET_PORT);
+        let target = Target::start(0x10 + u64::from(index), address, PACKET_PORT).await;
+        self.store.put(&target.key(), &target.report("ready"));
+        self.targets.push(target);
+    }
+
+    pub fn instance_host(&self, index: u8) -> Ipv4Addr {
+        host(self.prefix, 10 + index)
+    }
+
+    pub fn packets(&self, index: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(self.instance_host(index), PACKET_PORT)
+    }
+
+    /// Starts an instance in failure domain `a` that knows the first two as seeds.
+    pub fn start(&self, index: u8) -> Instance {
+        let seeds = [self.instance_host(0), self.instance_host(1)];
+        Instance::start(self.instance_host(index), &seeds, self.store.address)
+    }
+
+    pub async fn ready(&self, index: u8) -> Instance {
+        let instance = self.start(index);
+        eventually("the instance is ready", || instance.is_ready()).await;
+        instance
+    }
+}
+
+fn host(prefix: [u8; 2], last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, prefix[0], prefix[1], last)
+}
+
+/// A document with idempotent routes to the service `rates`.
+pub fn document(version: u64, entries: &[SocketAddrV4]) -> serde_json::Value {
+    let routes: Vec<_> = entries
+        .iter()
+        .map(|entry| {
+            json!({
+                "name": format!("r-{}", entry.port()),
+                "host": entry.ip().to_string(),
+                "prefix": format!("/{}/", entry.port()),
+                "type": "safe",
+                "timeout-ms": 1_200,
+                "latency-goal-ms": 150,
+                "priority": 2,
+                "service": "rates",
+            })
+        })
+        .collect();
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "rates", "health-path": "/health", "max-conns": 2_000}],
+        "limits": {"idle-timeout-ms": 15_000},
+    })
+}
+
+/// Waits for a condition; fails after ten seconds, several times every bound that is tested.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut check: impl FnMut() -> F) {
+    for _ in 0..1_000 {
+        if check().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("did not happen: {what}");
+}
--- /dev/null
+++ b/crates/edge/tests/kit/target.rs
@@ -0,0 +1,120 @@
+//! Stand-in for a target: answers callers directly, one answer for each packet with data.
+
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex};
+
+use serde_json::{Value, json};
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+
+#[path = "packet.rs"]
+pub mod packet;
+
+use packet::{ACK, Packet, RST, SYN};
+
+#[derive(Debug, Default)]
+struct Data {
+    flows: Vec<SocketAddrV4>,
+    requests: usize,
+    strays: usize,
+}
+
+pub struct Target {
+    pub id: u64,
+    pub address: SocketAddrV4,
+    data: Arc<Mutex<Data>>,
+    task: JoinHandle<()>,
+}
+
+impl Target {
+    pub async fn start(id: u64, address: SocketAddrV4, caller_port: u16) -> Self {
+        let socket = UdpSocket::bind(address).await.unwrap();
+        let data = Arc::new(Mutex::new(Data::default()));
+        let task = tokio::spawn(serve(socket, id, caller_port, data.clone()));
+        Self {
+            id,
+            address,
+            data,
+            task,
+        }
+    }
+
+    pub fn key(&self) -> String {
+        format!("servers/i-{:08x}", self.id)
+    }
+
+    pub fn report(&self, state: &str) -> Value {
+        json!({
+            "service": "rates",
+            "addr": self.address.to_string(),
+            "zone": "a",
+            "version": "v1",
+            "max-concurrent": 2,
+            "state": state,
+            "warmup-left-ms": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000_u64,
+        })
+    }
+
+    /// Dies without a word.
+    pub fn kill(&self) {
+        self.task.abort();
+    }
+
+    pub fn requests(&self) -> usize {
+        self.data.lock().unwrap().requests
+    }
+
+    /// Packets of flows that this target does not hold.
+    pub fn strays(&self) -> usize {
+        self.data.lock().unwrap().strays
+    }
+}
+
+async fn serve(socket: UdpSocket, id: u64, caller_port: u16, data: Arc<Mutex<Data>>) {
+    let mut buffer = [0; 2_048];
+    loop {
+        let (length, _) = socket.recv_from(&mut buffer).await.unwrap();
+        let meant = u64::from_be_bytes(buffer[..8].try_into().unwrap());
+        if meant != id {
+            continue;
+        }
+        let packet = Packet::decode(&buffer[8..length]);
+        let answer = answer(&packet, &mut data.lock().unwrap());
+        if let Some(answer) = answer {
+            let to = SocketAddrV4::new(*packet.from.ip(), caller_port);
+            socket.send_to(&answer.encode(), to).await.unwrap();
+        }
+    }
+}
+
+fn answer(packet: &Packet, data: &mut Data) -> Option<Packet> {
+    let mut answer = Packet {
+        echo: packet.echo,
+        seq: packet.ack,
+        ack: packet.seq.wrapping_add(packet.data.len() as u32),
+        to: packet.from,
+        from: packet.to,
+        flags: ACK,
+        data: Vec::new(),
+    };
+    if packet.flags & SYN != 0 {
+        data.flows.push(packet.from);
+        answer.flags = SYN | ACK;
+        answer.seq = 5_000;
+        answer.ack = packet.seq.wrapping_add(1);
+        return Some(answer);
+    }
+    if !data.flows.contains(&packet.from) {
+        data.strays += 1;
+        answer.flags = RST;
+        return Some(answer);
+    }
+    if packet.data.is_empty() {
+        return None;
+    }
+    data.requests += 1;
+    answer.data = b"answer".to_vec();
+    Some(answer)
+}
