Tell peers of a failure domain which targets do not answer

Ruled out: fewer signs before a reset (a live target loses two packets often enough); sharing of loads (the targets were idle). Change: a missed answer is told over the stream that carries the view; an instance that heard the target since contradicts.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
-use steer::{Peers, Update};
+use steer::{Evidence, Peers, Update};
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -60,6 +60,8 @@
         /// The changes.
         updates: Vec<Update>,
     },
+    /// What peers saw of targets.
+    Evidence(Vec<Evidence>),
 }
 
 /// What a reader works with.
@@ -136,7 +138,10 @@
                         "peer" => peer, "revision" => self.revision);
                     self.is_behind = true;
                 }
-                Err(error) => self.failed(&error).await,
+                Err(error) => {
+                    self.note_failed(&error);
+                    self.wait_after_failure().await;
+                }
             }
         }
     }
@@ -216,14 +221,13 @@
 
     /// Follows a peer until it fails or a better one is known.
     async fn follow(&mut self, leader: SocketAddr) {
-        match self.follow_while_current(leader, false).await {
-            Ok(()) => {}
-            Err(reason) => {
-                info!(self.log, "peer lost"; "step" => "follow", "peer" => %leader,
-                    "reason" => reason);
-                locked(&self.sources.peers).shun(self.sources.clock.now(), leader);
-                self.is_doubtful = true;
-            }
+        let followed = self.follow_while_current(leader, false).await;
+        self.sources.relay.end_upstream();
+        if let Err(reason) = followed {
+            info!(self.log, "peer lost"; "step" => "follow", "peer" => %leader,
+                "reason" => reason);
+            locked(&self.sources.peers).shun(self.sources.clock.now(), leader);
+            self.is_doubtful = true;
         }
     }
 
@@ -233,12 +237,14 @@
         only_once: bool,
     ) -> Result<(), String> {
         let revision = self.revision.filter(|_| !self.is_behind).unwrap_or(0);
-        let mut followed = Followed::start(peer, revision).await?;
+        let requests = self.sources.relay.upstream(revision);
+        let mut followed = Followed::start(peer, requests).await?;
         info!(self.log, "peer followed"; "step" => "follow", "peer" => %peer,
             "revision" => revision);
         loop {
             let part = followed.next(HEARTBEAT * MISSED_HEARTBEATS).await?;
             let updates = relay::decode(&part).map_err(|error| error.to_string())?;
+            self.sources.relay.take_from_upstream(&part.evidence);
             if part.is_complete {
                 self.is_behind = false;
                 self.replace(part.revision, updates);
@@ -297,7 +303,7 @@
         }
     }
 
-    async fn failed(&mut self, error: &Error) {
+    fn note_failed(&mut self, error: &Error) {
         self.count("failed");
         self.sources.relay.set_current(false);
         self.is_doubtful = false;
@@ -306,6 +312,9 @@
             self.lost_at = Some(Instant::now());
             warn!(self.log, "store lost"; "step" => "store", "reason" => %error);
         }
+    }
+
+    async fn wait_after_failure(&mut self) {
         if self.revision.is_none() {
             self.borrow_view().await;
         }
@@ -319,7 +328,9 @@
         let Some(peer) = locked(&self.sources.peers).any(self.sources.clock.now()) else {
             return;
         };
-        if let Err(reason) = self.follow_while_current(peer, true).await {
+        let followed = self.follow_while_current(peer, true).await;
+        self.sources.relay.end_upstream();
+        if let Err(reason) = followed {
             info!(self.log, "no view from peer"; "step" => "follow", "peer" => %peer,
                 "reason" => reason);
             locked(&self.sources.peers).shun(self.sources.clock.now(), peer);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod clock;
 mod error;
+mod evidence;
 mod feed;
 mod http;
 pub mod life;
--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -86,7 +86,8 @@
         let clock = Clock::start();
         let (queue, feeds) = flume::unbounded();
         let peers = Arc::new(Mutex::new(Peers::new(own_peer(&settings))));
-        let relay = Relayed::new(peers.clone(), clock, log.clone());
+        let seed = SmallRng::from_os_rng().next_u64();
+        let relay = Relayed::new(peers.clone(), queue.clone(), seed, clock, log.clone());
         let sources = Sources {
             store: Store::new(settings.store)?,
             peers: peers.clone(),
@@ -96,7 +97,7 @@
         };
         tokio::spawn(Reader::new(sources, queue, metrics.clone(), log.clone()).run());
         if let Some(address) = settings.peer {
-            spawn_server(&log, serve_peers(address, relay));
+            spawn_server(&log, serve_peers(address, relay.clone()));
             let seeds = settings.seeds.clone();
             tokio::spawn(meet_peers(peers, seeds, clock, log.clone()));
         }
@@ -113,12 +114,11 @@
             flow_life: settings.flow_life,
             ..steer::Settings::default()
         };
-        let seed = SmallRng::from_os_rng().next_u64();
         let steer = Steer::new(steering, seed);
         info!(log, "started"; "step" => "start", "packets" => %settings.packets,
             "ready" => %settings.ready, "metrics" => %settings.metrics,
             "store" => %settings.store);
-        let packets = PacketLoop::new(socket, steer, metrics, clock, log.clone(), usable);
+        let packets = PacketLoop::new(socket, steer, relay, metrics, clock, log.clone(), usable);
         Ok(Daemon {
             state: Serving {
                 packets,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -32,6 +32,8 @@
     pub dropped: IntCounterVec,
     /// Packets to targets without an answer.
     pub missed: IntCounter,
+    /// Unanswered packets of peers to targets that this instance has heard since.
+    pub contradicted: IntCounter,
     /// Time from a caller's first opening packet to the handshake's end.
     pub handshake: Histogram,
     /// Time from a request to the acknowledgement of its answer.
@@ -44,8 +46,6 @@
     pub lines_left_out: IntCounter,
     /// Flows in the table.
     pub flows: IntGauge,
-    /// Targets that take new flows.
-    pub targets: IntGauge,
     /// Version of the configuration in force.
     pub version: IntGauge,
     /// Revision of the view.
@@ -88,6 +88,10 @@
                 "answers_missed_total",
                 "Packets to targets without an answer",
             )?,
+            contradicted: counter(
+                "evidence_contradicted_total",
+                "Unanswered packets of peers to targets that were heard since",
+            )?,
             handshake: latency(
                 "handshake_seconds",
                 "Time from the first opening packet to the handshake's end",
@@ -100,7 +104,6 @@
             store_call: latency("store_call_seconds", "Time of reading calls to the store")?,
             lines_left_out: counter("log_lines_left_out_total", "Log lines beyond the budget")?,
             flows: gauge("flows", "Flows in the table")?,
-            targets: gauge("targets", "Targets that take new flows")?,
             version: gauge("document_version", "Version of the configuration in force")?,
             revision: gauge("view_revision", "Revision of the view")?,
             view_age_ms: gauge("view_age_milliseconds", "Time since the view was confirmed")?,
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -5,13 +5,14 @@
 
 use platform::packet;
 use slog::{Logger, warn};
-use steer::{Destination, Steer, Verdict};
+use steer::{Destination, Evidence, Steer, Verdict};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::feed::Feed;
 use crate::metrics::Metrics;
+use crate::relay::Relayed;
 use crate::tell::Teller;
 
 /// Packets taken before other events get their turn.
@@ -27,6 +28,9 @@
 pub struct PacketLoop {
     socket: UdpSocket,
     steer: Steer,
+    relay: Relayed,
+    /// What peers are to be told after this round.
+    seen: Vec<Evidence>,
     teller: Teller,
     metrics: Metrics,
     log: Logger,
@@ -41,6 +45,7 @@
     pub fn new(
         socket: UdpSocket,
         steer: Steer,
+        relay: Relayed,
         metrics: Metrics,
         clock: Clock,
         log: Logger,
@@ -49,6 +54,8 @@
         Self {
             socket,
             steer,
+            relay,
+            seen: Vec::new(),
             teller: Teller::new(log.clone(), metrics.clone()),
             metrics,
             log,
@@ -159,11 +166,17 @@
 
     fn take(&mut self, feed: Feed) {
         let now = self.clock.now();
-        self.confirmed_at = Instant::now();
         match feed {
             Feed::Reading { revision, updates } => self.steer.replace_view(now, revision, updates),
             Feed::Changes { revision, updates } => self.steer.update_view(now, revision, updates),
+            Feed::Evidence(evidence) => {
+                for seen in &evidence {
+                    self.steer.on_evidence(now, seen);
+                }
+                return;
+            }
         }
+        self.confirmed_at = Instant::now();
         let is_usable = self.steer.view().is_usable();
         self.ready
             .send_if_modified(|ready| std::mem::replace(ready, is_usable) != is_usable);
@@ -199,8 +212,13 @@
         let now = self.clock.now();
         let mut notes = self.steer.take_notes();
         for note in notes.drain(..) {
+            self.seen.extend(note.evidence());
             self.teller.tell(now, self.steer.view(), note);
         }
         self.steer.return_notes(notes);
+        if !self.seen.is_empty() {
+            self.relay.tell(&self.seen);
+            self.seen.clear();
+        }
     }
 }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -7,6 +7,9 @@
 use ids::Millis;
 use slog::{Logger, debug};
 use steer::{Peer, Peers};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
 use tonic::transport::{Channel, Endpoint};
 use wire::steering::relay_client::RelayClient;
 use wire::steering::{FollowRequest, MeetRequest, Peer as WirePeer, ViewPart};
@@ -116,27 +119,34 @@
     Ok(reply.into_inner().peers.iter().filter_map(decode).collect())
 }
 
+async fn follow(
+    address: SocketAddr,
+    requests: ReceiverStream<FollowRequest>,
+) -> Result<Streaming<ViewPart>, String> {
+    let mut client = connect(address).await.map_err(|error| error.to_string())?;
+    let response = client
+        .follow(requests)
+        .await
+        .map_err(|status| status.to_string())?;
+    Ok(response.into_inner())
+}
+
 /// A view that a peer streams.
 pub struct Followed {
-    parts: tonic::Streaming<ViewPart>,
+    parts: Streaming<ViewPart>,
 }
 
 impl Followed {
-    /// Starts to follow a peer from a revision.
-    pub async fn start(address: SocketAddr, revision: u64) -> Result<Self, String> {
-        let call = async {
-            let mut client = connect(address).await.map_err(|error| error.to_string())?;
-            client
-                .follow(FollowRequest { revision })
-                .await
-                .map_err(|status| status.to_string())
-        };
-        let response = tokio::time::timeout(2 * CALL_TIMEOUT, call)
+    /// Starts to follow a peer. The first of `requests` names the revision to start from.
+    pub async fn start(
+        address: SocketAddr,
+        requests: mpsc::Receiver<FollowRequest>,
+    ) -> Result<Self, String> {
+        let call = follow(address, ReceiverStream::new(requests));
+        let parts = tokio::time::timeout(2 * CALL_TIMEOUT, call)
             .await
             .map_err(|_| "no answer in time".to_owned())??;
-        Ok(Self {
-            parts: response.into_inner(),
-        })
+        Ok(Self { parts })
     }
 
     /// Waits for the next part.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -7,15 +7,16 @@
 use hashbrown::HashMap;
 use ids::Millis;
 use slog::{Logger, info};
-use steer::{Change, Peers, TargetId, Update};
-use tokio::sync::broadcast;
+use steer::{Change, Evidence, Peers, TargetId, Update};
+use tokio::sync::{broadcast, mpsc};
 use tokio_stream::Stream;
-use tonic::{Request, Response, Status};
+use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::Relay;
-use wire::steering::{FollowRequest, MeetReply, MeetRequest, ViewPart};
+use wire::steering::{Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ViewPart};
 
 use crate::clock::Clock;
-use crate::peer;
+use crate::feed::Feed;
+use crate::{evidence, peer};
 
 /// Interval of parts without news. A follower takes three missing ones as silence.
 pub const HEARTBEAT: Duration = Duration::from_millis(500);
@@ -37,7 +38,13 @@
 pub struct Relayed {
     published: Arc<Mutex<Published>>,
     parts: broadcast::Sender<ViewPart>,
+    /// Requests to the peer that is followed, while there is one.
+    upstream: Arc<Mutex<Option<mpsc::Sender<FollowRequest>>>>,
+    /// Evidence of peers for the packet loop.
+    feeds: flume::Sender<Feed>,
     peers: Arc<Mutex<Peers>>,
+    /// Number by which this instance knows its own evidence again.
+    origin: u64,
     clock: Clock,
     log: Logger,
 }
@@ -49,16 +56,103 @@
 
 impl Relayed {
     /// Creates a relay that has nothing to tell yet.
-    pub fn new(peers: Arc<Mutex<Peers>>, clock: Clock, log: Logger) -> Self {
+    pub fn new(
+        peers: Arc<Mutex<Peers>>,
+        feeds: flume::Sender<Feed>,
+        origin: u64,
+        clock: Clock,
+        log: Logger,
+    ) -> Self {
         Self {
             published: Arc::default(),
             parts: broadcast::Sender::new(QUEUE_PARTS),
+            upstream: Arc::default(),
+            feeds,
             peers,
+            origin,
             clock,
             log,
         }
     }
 
+    /// Tells all peers of the failure domain what this instance saw.
+    pub fn tell(&self, seen: &[Evidence]) {
+        let evidence: Vec<WireEvidence> = seen
+            .iter()
+            .map(|seen| evidence::encode(seen, self.origin))
+            .collect();
+        self.tell_followers(&evidence);
+        self.tell_upstream(evidence);
+    }
+
+    fn tell_followers(&self, evidence: &[WireEvidence]) {
+        if !self.has_followers() {
+            return;
+        }
+        let mut part = locked(&self.published).heartbeat();
+        part.evidence = evidence.to_vec();
+        self.send(part);
+    }
+
+    fn tell_upstream(&self, evidence: Vec<WireEvidence>) {
+        if let Some(upstream) = locked(&self.upstream).as_ref() {
+            // When the peer does not keep up, evidence this old is of no use to it.
+            let _ = upstream.try_send(FollowRequest {
+                revision: 0,
+                evidence,
+            });
+        }
+    }
+
+    /// Takes the evidence of the peer that is followed.
+    pub fn take_from_upstream(&self, evidence: &[WireEvidence]) {
+        if evidence.is_empty() {
+            return;
+        }
+        self.take_evidence(evidence);
+        self.tell_followers(evidence);
+    }
+
+    fn take_from_follower(&self, evidence: Vec<WireEvidence>) {
+        if evidence.is_empty() {
+            return;
+        }
+        self.take_evidence(&evidence);
+        self.tell_followers(&evidence);
+        self.tell_upstream(evidence);
+    }
+
+    fn take_evidence(&self, evidence: &[WireEvidence]) {
+        let foreign: Vec<Evidence> = evidence
+            .iter()
+            .filter(|seen| seen.origin != self.origin)
+            .map(evidence::decode)
+            .collect();
+        if !foreign.is_empty() {
+            // The queue has no bound and closes only when the process ends.
+            let _ = self.feeds.send(Feed::Evidence(foreign));
+        }
+    }
+
+    /// Begins to send to a peer that is followed, from the revision of the own view.
+    pub fn upstream(&self, revision: u64) -> mpsc::Receiver<FollowRequest> {
+        // A queue of the runtime's: the stream of a `flume` one has a lifetime that the gRPC client
+        // cannot take.
+        let (queue, requests) = mpsc::channel(QUEUE_PARTS);
+        // The queue is new and has room.
+        let _ = queue.try_send(FollowRequest {
+            revision,
+            evidence: Vec::new(),
+        });
+        *locked(&self.upstream) = Some(queue);
+        requests
+    }
+
+    /// Ends sending to the peer that was followed.
+    pub fn end_upstream(&self) {
+        *locked(&self.upstream) = None;
+    }
+
     /// Takes everything published at a revision.
     pub fn replace(&self, revision: u64, updates: &[Update]) {
         let mut published = locked(&self.published);
@@ -84,6 +178,7 @@
             is_complete: false,
             is_current: published.is_current,
             updates: encode(updates),
+            evidence: Vec::new(),
         };
         drop(published);
         if !updates.is_empty() {
@@ -147,6 +242,7 @@
             is_complete: false,
             is_current: self.is_current,
             updates: Vec::new(),
+            evidence: Vec::new(),
         }
     }
 
@@ -157,6 +253,7 @@
             is_complete: true,
             is_current: self.is_current,
             updates: encode(&updates),
+            evidence: Vec::new(),
         }
     }
 }
@@ -202,21 +299,34 @@
 
     async fn follow(
         &self,
-        request: Request<FollowRequest>,
+        request: Request<Streaming<FollowRequest>>,
     ) -> Result<Response<Self::FollowStream>, Status> {
         let follower = request
             .remote_addr()
             .map(|address| address.ip().to_string());
         let news = self.parts.subscribe();
+        let mut requests = request.into_inner();
+        let revision = requests
+            .message()
+            .await?
+            .map_or(0, |request| request.revision);
         let first = self
-            .first_part(request.into_inner().revision)
+            .first_part(revision)
             .ok_or_else(|| Status::unavailable("no view yet"))?;
         info!(self.log, "follower joined"; "step" => "relay", "peer" => follower,
             "revision" => first.revision, "complete" => first.is_complete);
         let (queue, parts) = flume::bounded(QUEUE_PARTS);
         tokio::spawn(feed_follower(self.clone(), first, news, queue));
-        let stream = parts.into_stream();
-        Ok(Response::new(Box::pin(stream)))
+        tokio::spawn(hear_follower(self.clone(), requests));
+        Ok(Response::new(Box::pin(parts.into_stream())))
+    }
+}
+
+/// Takes evidence from one follower until it leaves.
+async fn hear_follower(relay: Relayed, mut requests: Streaming<FollowRequest>) {
+    // The end of the stream and its failure mean the same: the follower has left.
+    while let Ok(Some(request)) = requests.message().await {
+        relay.take_from_follower(request.evidence);
     }
 }
 
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -103,6 +103,16 @@
                         "heard_before_ms" => heard_before.0, "signs" => signs);
                 }
             }
+            Note::Contradicted {
+                target,
+                heard_before,
+            } => {
+                self.metrics.contradicted.inc();
+                if self.unusual.take(now) {
+                    info!(self.log, "peer's evidence contradicted"; "target" => %target,
+                        "heard_before_ms" => heard_before.0);
+                }
+            }
             Note::HeardAgain { target } => {
                 info!(self.log, "target heard again"; "target" => %target);
             }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -22,5 +22,6 @@
 pub use packet::{FlowId, Kind, Segment, Token};
 pub use peers::{Peer, Peers};
 pub use settings::Settings;
+pub use silence::{Asked, Evidence, Sign};
 pub use steer::{Destination, Drop, Note, Refusal, Resend, Steer, Verdict};
 pub use view::View;
--- a/crates/steer/src/silence.rs
+++ b/crates/steer/src/silence.rs
@@ -6,6 +6,8 @@
 
 use ids::{Micros, Millis};
 
+use crate::model::TargetId;
+
 /// Unanswered packets of different flows from which a target is avoided for long. A single one is
 /// as likely to be a lost datagram.
 const CERTAIN_SIGNS: u32 = 2;
@@ -27,14 +29,36 @@
     Request,
 }
 
+/// What one instance tells another of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evidence {
+    /// The target.
+    pub target: TargetId,
+    /// What was seen.
+    pub sign: Sign,
+    /// Time since the target was heard, or since the unanswered packet was first sent.
+    pub age: Millis,
+}
+
+/// What was seen of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sign {
+    /// A caller has heard from it.
+    Heard,
+    /// A packet had no answer.
+    Missed(Asked),
+}
+
 /// What callers' packets say of one target.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Silence {
     /// Last time a caller showed that it had heard from the target.
     heard_at: Micros,
-    /// Unanswered packets since then.
+    /// When the last unanswered packet was first sent.
+    missed_at: Micros,
+    /// Unanswered packets since it was heard.
     signs: u32,
-    /// Unanswered requests of open flows since then.
+    /// Unanswered requests of open flows since it was heard.
     requests: u32,
     /// Last unanswered request.
     request_at: Micros,
@@ -43,11 +67,14 @@
 }
 
 impl Silence {
-    /// A caller has heard from the target. Returns whether the target was avoided until now.
-    pub fn hear(&mut self, now: Micros) -> bool {
+    /// A caller heard from the target at a time. Returns whether the target was avoided until now.
+    pub fn hear(&mut self, now: Micros, heard_at: Micros) -> bool {
+        if heard_at < self.heard_at || heard_at < self.missed_at {
+            return false;
+        }
         let was_avoided = now < self.avoid_until;
         *self = Self {
-            heard_at: now,
+            heard_at,
             ..Self::default()
         };
         was_avoided
@@ -66,6 +93,7 @@
         if asked_at < self.heard_at {
             return None;
         }
+        self.missed_at = self.missed_at.max(asked_at);
         self.signs = self.signs.saturating_add(1);
         if asked == Asked::Request {
             self.requests = self.requests.saturating_add(1);
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -12,7 +12,7 @@
 use crate::packet::{FlowId, Kind, Segment, Token};
 use crate::place::place;
 use crate::settings::Settings;
-use crate::silence::Asked;
+use crate::silence::{Asked, Evidence, Sign};
 use crate::view::{Effect, Standing, View};
 
 /// Multiple of the slowest recent handshake after which an opening packet counts as unanswered.
@@ -150,6 +150,13 @@
         /// Packets without an answer since then.
         signs: u32,
     },
+    /// A peer missed an answer of a target that this instance has heard since.
+    Contradicted {
+        /// The target.
+        target: TargetId,
+        /// Time since this instance heard it.
+        heard_before: Millis,
+    },
     /// An avoided target answered.
     HeardAgain {
         /// The target.
@@ -159,6 +166,33 @@
     View(Effect),
 }
 
+impl Note {
+    /// Returns what peers should know of the decision.
+    pub fn evidence(&self) -> Option<Evidence> {
+        match self {
+            Self::Missed {
+                target,
+                asked,
+                waited,
+                ..
+            } => Some(Evidence {
+                target: *target,
+                sign: Sign::Missed(*asked),
+                age: *waited,
+            }),
+            Self::Contradicted {
+                target,
+                heard_before,
+            } => Some(Evidence {
+                target: *target,
+                sign: Sign::Heard,
+                age: *heard_before,
+            }),
+            _ => None,
+        }
+    }
+}
+
 /// The steering of one instance.
 #[derive(Debug)]
 pub struct Steer {
@@ -460,7 +494,7 @@
         let Some(member) = self.view.member_mut(id) else {
             return;
         };
-        if member.silence.hear(now) {
+        if member.silence.hear(now, now) {
             self.notes.push(Note::HeardAgain { target: id });
         }
     }
@@ -483,6 +517,33 @@
         }
     }
 
+    /// Takes what a peer saw of a target.
+    pub fn on_evidence(&mut self, now: Micros, evidence: &Evidence) {
+        let (doubt, avoid) = (self.settings.doubt, self.settings.avoid);
+        let Some(member) = self.view.member_mut(evidence.target) else {
+            return;
+        };
+        let seen_at = now - evidence.age;
+        let asked = match evidence.sign {
+            Sign::Heard => {
+                member.silence.hear(now, seen_at);
+                return;
+            }
+            Sign::Missed(asked) => asked,
+        };
+        let heard_before = now.since(member.silence.heard_at());
+        if member
+            .silence
+            .miss(now, asked, seen_at, doubt, avoid)
+            .is_none()
+        {
+            self.notes.push(Note::Contradicted {
+                target: evidence.target,
+                heard_before,
+            });
+        }
+    }
+
     fn end(&mut self, id: &FlowId) {
         if let Some(flow) = self.flows.remove(id) {
             self.count(flow.target, -i32::from(flow.asked_at.is_some()), -1);
