--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -78,6 +78,16 @@
     pub clock: Clock,
 }
 
+/// Pages of a reading that is not complete yet.
+#[derive(Debug, Default)]
+struct Partial {
+    /// Revision of the first page.
+    revision: Option<u64>,
+    updates: Vec<Update>,
+    /// Key after which the next page begins.
+    after: Option<String>,
+}
+
 /// Keeps the view up to date for as long as the process runs.
 pub struct Reader {
     sources: Sources,
@@ -88,6 +98,8 @@
     revision: Option<u64>,
     /// Whether everything has to be read again.
     is_behind: bool,
+    /// Pages read so far, kept over a failed call.
+    partial: Partial,
     /// Whether a followed peer was lost, so that the view may be old.
     is_doubtful: bool,
     lost_at: Option<Instant>,
@@ -112,6 +124,7 @@
             log,
             revision: None,
             is_behind: true,
+            partial: Partial::default(),
             is_doubtful: false,
             lost_at: None,
             pause: FIRST_PAUSE,
@@ -157,35 +170,31 @@
     }
 
     /// Reads every page. Pages are read at different revisions, so the watch that follows starts
-    /// from the first one's.
+    /// from the first one's. After a failed call the reading goes on where it was: when many
+    /// instances start together, the limit on calls would otherwise let none of them finish.
     async fn read(&mut self) -> platform::Result<()> {
-        let mut all = Vec::new();
-        let mut revision = None;
-        let mut after: Option<String> = None;
         loop {
             let began = Instant::now();
-            let page = self
-                .sources
-                .store
-                .page(after.as_deref(), self.page_limit)
-                .await?;
+            let after = self.partial.after.as_deref();
+            let page = self.sources.store.page(after, self.page_limit).await?;
             self.metrics
                 .store_call
                 .observe(began.elapsed().as_secs_f64());
             self.count("page");
             self.tell_refused(&page.refused);
-            revision.get_or_insert(page.revision);
-            all.extend(page.updates);
-            after = page.next;
-            if after.is_none() {
+            self.partial.revision.get_or_insert(page.revision);
+            self.partial.updates.extend(page.updates);
+            self.partial.after = page.next;
+            if self.partial.after.is_none() {
                 break;
             }
         }
-        let revision = revision.unwrap_or_default();
+        let partial = std::mem::take(&mut self.partial);
+        let revision = partial.revision.unwrap_or_default();
         info!(self.log, "store read"; "step" => "store", "revision" => revision,
-            "items" => all.len());
+            "items" => partial.updates.len());
         self.is_behind = false;
-        self.replace(revision, all);
+        self.replace(revision, partial.updates);
         Ok(())
     }
 
@@ -247,6 +256,7 @@
             self.sources.relay.take_from_upstream(&part.evidence);
             if part.is_complete {
                 self.is_behind = false;
+                self.partial = Partial::default();
                 self.replace(part.revision, updates);
             } else {
                 self.update(part.revision, updates);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -28,6 +28,10 @@
 /// Interval of the rounds after that. A better peer is found within one.
 const INTERVAL: Duration = Duration::from_secs(5);
 
+/// Rounds of which an instance that follows a peer spends one on the seeds. They are far away,
+/// and the peer that is followed meets them in every round.
+const SEED_ROUNDS: u32 = 12;
+
 /// Largest part of a view that is accepted: 75,000 targets of some 60 bytes with room to spare.
 const MAX_PART_BYTES: usize = 32 << 20;
 
@@ -67,8 +71,11 @@
 ) {
     let own = locked(&peers).own().clone();
     for round in 0_u32.. {
-        let mut callees = seeds.clone();
-        callees.extend(locked(&peers).leader(clock.now()));
+        let leader = locked(&peers).leader(clock.now());
+        let mut callees: Vec<SocketAddr> = leader.into_iter().collect();
+        if leader.is_none() || round < FIRST_ROUNDS || round % SEED_ROUNDS == 0 {
+            callees.extend(&seeds);
+        }
         callees.retain(|address| *address != own.address);
         callees.sort_unstable();
         callees.dedup();
