--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -109,6 +109,19 @@
         #[arg(long)]
         domain: Option<DomainName>,
     },
+    /// Tell the story of one flow from the log lines of steering daemons.
+    ///
+    /// Lines of all files are put in order by the revision of the view, which all instances share,
+    /// so clocks that differ do no harm. What stands before the JSON of a line is passed over.
+    #[command(after_long_help = "Examples:\n  \
+        pollenpin explain 100.64.0.7:40001 a1.log a2.log\n  \
+        pollenpin explain 100.64.0.7:40001 < all.log")]
+    Explain {
+        /// Part of the flow's name, such as the caller's address and port.
+        flow: String,
+        /// Files with log lines; `-` or none stands for standard input.
+        files: Vec<PathBuf>,
+    },
     /// Print a completion script for a shell.
     #[command(after_long_help = "Example:\n  pollenpin completion bash > pollenpin.bash")]
     Completion {
@@ -126,4 +139,6 @@
     Document,
     /// A list of instances.
     Instances,
+    /// Settings of a steering daemon, in the platform's format.
+    Steering,
 }
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -41,7 +41,9 @@
 fn check(path: &Path, kind: Option<Kind>) -> Result<Checked> {
     let text = read(path)?;
     let file = path.display().to_string();
-    let Some(kind) = kind.or_else(|| kind_of(&text)) else {
+    let is_toml = path.extension().is_some_and(|ending| ending == "toml");
+    let by_ending = is_toml.then_some(Kind::Steering);
+    let Some(kind) = kind.or(by_ending).or_else(|| kind_of(&text)) else {
         let problem = Problem {
             file: file.clone(),
             line: 1,
@@ -60,6 +62,7 @@
         Kind::Settings => ("settings", Settings::parse(&file, &text).map(drop)),
         Kind::Document => ("document", document::parse(&file, &text).map(drop)),
         Kind::Instances => ("instance list", instances::parse(&file, &text).map(drop)),
+        Kind::Steering => ("steering settings", check_steering(&file, &text)),
     };
     let problems = match outcome {
         Ok(()) => Vec::new(),
@@ -73,6 +76,22 @@
     })
 }
 
+/// Checks settings in the platform's format, whose parser stops at the first problem.
+fn check_steering(file: &str, text: &str) -> conf::Result<()> {
+    platform::Settings::parse(text)
+        .map(drop)
+        .map_err(|expected| {
+            conf::Error::Refused(conf::Problems(vec![Problem {
+                file: file.to_owned(),
+                line: 1,
+                section: String::new(),
+                key: String::new(),
+                value: None,
+                expected,
+            }]))
+        })
+}
+
 /// Tells the kind of a file from the first section that only one kind has.
 fn kind_of(text: &str) -> Option<Kind> {
     text.lines().find_map(|line| {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod args;
 mod check;
 mod diff;
+mod explain;
 mod pack;
 mod placement;
 mod report;
@@ -35,6 +36,7 @@
             flow,
             domain,
         } => route::run(document, service, *flow, domain.as_ref()),
+        Command::Explain { flow, files } => explain::run(flow, files),
         Command::Completion { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(*shell, &mut Args::command(), "pollenpin", &mut script);
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,65 @@
+//! The story of a flow from the lines of several daemons.
+
+#![allow(clippy::expect_used, clippy::unwrap_used)]
+
+use std::path::PathBuf;
+
+use clap::Parser;
+use cli::args::Args;
+
+/// Two instances: the clock of the second is an hour ahead; the flow goes on there.
+const FIRST: &str = r#"
+   0.1 x {"msg":"flow placed","level":"INFO","ts":"2026-01-01T10:00:00.1Z","instance":"a1","revision":7,"target":"2b","flow":"100.64.0.1:9-198.18.0.1:443"}
+{"msg":"flow placed","level":"INFO","ts":"2026-01-01T10:00:00.2Z","instance":"a1","revision":7,"target":"3c","flow":"100.64.0.2:9-198.18.0.1:443"}
+{"msg":"target changed","level":"INFO","ts":"2026-01-01T10:00:00.9Z","instance":"a1","revision":9,"to":"gone","target":"2b"}
+another program's line {
+"#;
+const SECOND: &str = r#"
+{"msg":"no answer from target","level":"WARN","ts":"2026-01-01T11:00:00.5Z","instance":"a2","revision":8,"target":"2b","flow":"100.64.0.1:9-198.18.0.1:443"}
+"#;
+
+fn explain(name: &str, flow: &str) -> cli::Report {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let files: Vec<PathBuf> = [("first", FIRST), ("second", SECOND)]
+        .iter()
+        .map(|(part, text)| {
+            let file = folder.join(format!("explain-{name}-{part}.log"));
+            std::fs::write(&file, text).expect("a file");
+            file
+        })
+        .collect();
+    let arguments = ["pollenpin", "explain", flow]
+        .into_iter()
+        .map(std::ffi::OsString::from)
+        .chain(files.into_iter().map(Into::into));
+    cli::run(&Args::parse_from(arguments)).expect("a report")
+}
+
+#[test]
+fn lines_follow_the_revision_and_not_the_clock() {
+    let report = explain("order", "100.64.0.1:9");
+    let messages: Vec<&str> = report
+        .json
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|line| line["msg"].as_str().unwrap())
+        .collect();
+    assert_eq!(
+        messages,
+        ["flow placed", "no answer from target", "target changed"]
+    );
+}
+
+#[test]
+fn other_flows_are_left_out() {
+    let report = explain("others", "100.64.0.2:9");
+    assert!(!report.text.contains("100.64.0.1:9"), "{}", report.text);
+}
+
+#[test]
+fn unknown_flow_is_a_finding() {
+    let report = explain("unknown", "100.64.0.3:9");
+    assert_eq!(report.code as u8, 1);
+    assert!(report.text.contains("no line names"), "{}", report.text);
+}
--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-const PAGE: &str = include_str!("../../../docs/operations.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 const REPORT: &str = include_str!("../src/report.rs");
 
 /// Guards against an exit code of the command line that operators cannot look up.
--- a/crates/daemon/src/bin/pollenpind.rs
+++ b/crates/daemon/src/bin/pollenpind.rs
@@ -59,7 +59,7 @@
     let listen = |kind| signal(kind).map_err(|error| format!("listening for signals: {error}"));
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
-    let log = daemon::log::logger(&settings);
+    let (log, _flush) = daemon::log::logger(&settings);
     let serving = Daemon::new(settings, log)
         .start()
         .map_err(|error| error.to_string())?;
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -2,32 +2,21 @@
 
 use balance::event::{ControlLog, PeerChange, Source};
 use conf::settings::{Level, Settings};
-use slog::{Drain, Logger, info, o, warn};
+use slog::{Logger, info, o, warn};
 
-/// Log lines that wait for the writer; more are dropped and counted by the logger.
-const QUEUE_LINES: usize = 1_024;
-
-/// Returns a logger that writes to standard output from a thread of its own.
-pub fn logger(settings: &Settings) -> Logger {
+/// Returns a logger to standard output, and the guard that writes the last lines when dropped.
+pub fn logger(settings: &Settings) -> (Logger, logs::AsyncGuard) {
     let level = match settings.log.level {
         Level::Error => slog::Level::Error,
         Level::Warning => slog::Level::Warning,
         Level::Info => slog::Level::Info,
         Level::Debug => slog::Level::Debug,
     };
-    let lines = slog_json::Json::default(std::io::stdout()).fuse();
-    let queued = slog_async::Async::new(lines)
-        .chan_size(QUEUE_LINES)
-        .build()
-        .filter_level(level)
-        .fuse();
-    Logger::root(
-        queued,
-        o!(
-            "instance" => settings.instance.name.to_string(),
-            "domain" => settings.instance.domain.to_string(),
-        ),
-    )
+    let values = o!(
+        "instance" => settings.instance.name.to_string(),
+        "domain" => settings.instance.domain.to_string(),
+    );
+    logs::logger(level, values)
 }
 
 /// Logs an event of the control part and returns its kind for the metrics.
--- a/crates/daemon/tests/operations.rs
+++ b/crates/daemon/tests/operations.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 
-const PAGE: &str = include_str!("../../../docs/operations.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 const METRICS: &str = include_str!("../src/metrics.rs");
 const LOG: &str = include_str!("../src/log.rs");
 const PLATFORM: &str = include_str!("../src/platform.rs");
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -65,6 +65,7 @@
 }
 
 /// What a reader works with.
+#[derive(Debug)]
 pub struct Sources {
     /// Client of the store.
     pub store: Store,
@@ -89,6 +90,7 @@
 }
 
 /// Keeps the view up to date for as long as the process runs.
+#[derive(Debug)]
 pub struct Reader {
     sources: Sources,
     feeds: flume::Sender<Feed>,
--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -34,12 +34,14 @@
 const STOP_MARGIN: Millis = Millis(1_000);
 
 /// The socket is bound, so that packets wait in it; nothing runs.
+#[derive(Debug)]
 pub struct Starting {
     socket: std::net::UdpSocket,
     settings: Settings,
 }
 
 /// Packets are forwarded.
+#[derive(Debug)]
 pub struct Serving {
     packets: PacketLoop,
     feeds: flume::Receiver<Feed>,
@@ -48,6 +50,7 @@
 }
 
 /// Not ready any more; packets are still forwarded.
+#[derive(Debug)]
 pub struct Stopping {
     packets: PacketLoop,
     feeds: flume::Receiver<Feed>,
@@ -55,6 +58,7 @@
 }
 
 /// A daemon in one state of its life.
+#[derive(Debug)]
 pub struct Daemon<S> {
     state: S,
     log: Logger,
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -25,6 +25,7 @@
 const BUFFER_BYTES: usize = packet::PREFIX_BYTES + packet::MAX_PACKET_BYTES + 1;
 
 /// Steers the packets of one socket.
+#[derive(Debug)]
 pub struct PacketLoop {
     socket: UdpSocket,
     steer: Steer,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -139,6 +139,7 @@
 }
 
 /// A view that a peer streams.
+#[derive(Debug)]
 pub struct Followed {
     parts: Streaming<ViewPart>,
 }
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -16,6 +16,7 @@
 const UNUSUAL_LINES_PER_S: u32 = 100;
 
 /// Writes down what was decided.
+#[derive(Debug)]
 pub struct Teller {
     log: Logger,
     metrics: Metrics,
--- a/crates/steer/tests/kit/mod.rs
+++ b/crates/steer/tests/kit/mod.rs
@@ -1,6 +1,6 @@
 //! A scripted world for tests of steering: two services, targets in two failure domains.
 
-#![allow(dead_code)]
+#![allow(dead_code, clippy::panic)]
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
