--- a/crates/edge/tests/kit/mod.rs
+++ b/crates/edge/tests/kit/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each test has a loopback network of its own, so that every process can use the same ports.
 
-#![allow(dead_code)]
+#![allow(dead_code, clippy::unwrap_used, clippy::panic)]
 
 pub mod caller;
 pub mod instance;
--- a/crates/edge/tests/operations.rs
+++ b/crates/edge/tests/operations.rs
@@ -1,5 +1,7 @@
 //! The operators' page against the code of the steering daemon.
 
+#![allow(clippy::expect_used)]
+
 use std::collections::BTreeSet;
 use std::path::Path;
 
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings that cannot be used are refused with a clear message.
 
+#![allow(clippy::unwrap_used)]
+
 use std::process::Command;
 
 macro_rules! cases {
--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -1,5 +1,7 @@
 //! The whole path as processes: callers, instances, targets and the store.
 
+#![allow(clippy::unwrap_used)]
+
 mod kit;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -131,10 +133,10 @@
 
     change_is_in_force_in_time_after_the_reader_is_killed => {
         let mut net = Net::new(1).await;
-        let mut instances = vec![net.ready(0).await, net.ready(1).await, net.ready(2).await];
+        let mut instances = [net.ready(0).await, net.ready(1).await, net.ready(2).await];
         tokio::time::sleep(Duration::from_secs(2)).await;
-        for victim in 0..2 {
-            instances[victim].kill();
+        for victim in &mut instances[..2] {
+            victim.kill();
         }
         net.store.put("op/config", &document(2, &[ENTRY, NEW_ENTRY]));
         let via = instances[2].packets();
