Give no new flows to targets that take requests and do not answer

Ruled out: instances that stop (placements continued), lapsed reports. Change: three requests without an answer for eight times the usual time within two seconds, over all instances of the failure domain, and the target is passed over for three seconds. Open flows stay.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -32,6 +32,8 @@
     pub dropped: IntCounterVec,
     /// Packets to targets without an answer.
     pub missed: IntCounter,
+    /// Requests that were taken and had no answer for long.
+    pub stalled: IntCounter,
     /// Unanswered packets of peers to targets that this instance has heard since.
     pub contradicted: IntCounter,
     /// Time from a caller's first opening packet to the handshake's end.
@@ -88,6 +90,10 @@
                 "answers_missed_total",
                 "Packets to targets without an answer",
             )?,
+            stalled: counter(
+                "requests_stalled_total",
+                "Requests that were taken and had no answer for long",
+            )?,
             contradicted: counter(
                 "evidence_contradicted_total",
                 "Unanswered packets of peers to targets that were heard since",
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -126,7 +126,7 @@
         let foreign: Vec<Evidence> = evidence
             .iter()
             .filter(|seen| seen.origin != self.origin)
-            .map(evidence::decode)
+            .filter_map(evidence::decode)
             .collect();
         if !foreign.is_empty() {
             // The queue has no bound and closes only when the process ends.
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -104,6 +104,18 @@
                         "heard_before_ms" => heard_before.0, "signs" => signs);
                 }
             }
+            Note::Stalled {
+                target,
+                flow,
+                waited,
+                is_avoided,
+            } => {
+                self.metrics.stalled.inc();
+                if self.unusual.take(now) {
+                    info!(self.log, "request stalled"; "flow" => %flow, "target" => %target,
+                        "waited_ms" => waited.0, "avoided_now" => is_avoided);
+                }
+            }
             Note::Contradicted {
                 target,
                 heard_before,
--- a/crates/steer/src/silence.rs
+++ b/crates/steer/src/silence.rs
@@ -16,6 +16,17 @@
 /// losses may coincide on a live target between two answers; three do not.
 const DEAD_SIGNS: u32 = 3;
 
+/// Stalled requests within [`STALL_WINDOW`] from which a target gets no new flows. A healthy target
+/// stalls one now and then.
+const STALLED_SIGNS: u32 = 3;
+
+/// Time over which stalled requests are counted.
+const STALL_WINDOW: Millis = Millis(2_000);
+
+/// Time for which a target that stalls requests gets no new flows. Some have to follow then, since
+/// only they show whether it has recovered.
+const STALL_AVOID: Millis = Millis(3_000);
+
 /// Time for which unanswered requests count. A target that comes back is found by the first
 /// request after it.
 const DEAD_MEMORY: Millis = Millis(1_000);
@@ -47,6 +58,8 @@
     Heard,
     /// A packet had no answer.
     Missed(Asked),
+    /// A request was taken and has no answer for long.
+    Stalled,
 }
 
 /// What callers' packets say of one target.
@@ -123,3 +136,34 @@
         self.requests >= DEAD_SIGNS && now.since(self.request_at) <= DEAD_MEMORY
     }
 }
+
+/// Requests that a target took and did not answer. It may answer others, and report itself healthy.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Stalls {
+    began_at: Micros,
+    count: u32,
+    avoid_until: Micros,
+}
+
+impl Stalls {
+    /// A request has had no answer for long. Returns whether the target is avoided from now on and
+    /// was not before.
+    pub fn note(&mut self, now: Micros) -> bool {
+        if now.since(self.began_at) > STALL_WINDOW {
+            self.began_at = now;
+            self.count = 0;
+        }
+        self.count = self.count.saturating_add(1);
+        if self.count < STALLED_SIGNS {
+            return false;
+        }
+        let was_avoided = self.is_avoided(now);
+        self.avoid_until = now + STALL_AVOID;
+        !was_avoided
+    }
+
+    /// Tells whether the target gets no new flows.
+    pub fn is_avoided(&self, now: Micros) -> bool {
+        now < self.avoid_until
+    }
+}
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -22,6 +22,17 @@
 /// a hundred handshakes long.
 const HANDSHAKE_DECAY: u64 = 63;
 
+/// Multiple of the usual answer time after which a request counts as stalled.
+const STALL_FACTOR: u64 = 8;
+
+/// Bounds on that time. Below the first a lost answer, which is resent after 200 ms, looks the same;
+/// after the second most callers have given up.
+const MIN_STALL: Millis = Millis(250);
+const MAX_STALL: Millis = Millis(1_000);
+
+/// Weight of one answer in the usual answer time, as a divisor.
+const ANSWER_WEIGHT: u64 = 32;
+
 /// Time within which another target has to be heard; otherwise the fault may be on this side.
 const OTHERS_HEARD_WITHIN: Millis = Millis(200);
 
@@ -150,6 +161,17 @@
         /// Packets without an answer since then.
         signs: u32,
     },
+    /// A request was taken and has no answer for long.
+    Stalled {
+        /// The target.
+        target: TargetId,
+        /// The flow.
+        flow: FlowId,
+        /// Time since the request was sent.
+        waited: Millis,
+        /// Whether the target gets no new flows from now on.
+        is_avoided: bool,
+    },
     /// A peer missed an answer of a target that this instance has heard since.
     Contradicted {
         /// The target.
@@ -180,6 +202,11 @@
                 sign: Sign::Missed(*asked),
                 age: *waited,
             }),
+            Self::Stalled { target, waited, .. } => Some(Evidence {
+                target: *target,
+                sign: Sign::Stalled,
+                age: *waited,
+            }),
             Self::Contradicted {
                 target,
                 heard_before,
@@ -202,6 +229,9 @@
     /// Opening packets that wait for a handshake, the earliest due time first.
     openings: VecDeque<(Micros, FlowId)>,
     slowest_handshake_us: u64,
+    /// Requests under way with the time after which they count as stalled, the earliest first.
+    requests: VecDeque<(Micros, FlowId)>,
+    usual_answer_us: u64,
     heard_at: Micros,
     random: SmallRng,
     notes: Vec<Note>,
@@ -216,6 +246,8 @@
             view: View::default(),
             openings: VecDeque::new(),
             slowest_handshake_us: 0,
+            requests: VecDeque::new(),
+            usual_answer_us: 0,
             heard_at: Micros(0),
             random: SmallRng::seed_from_u64(seed),
             notes: Vec::new(),
@@ -260,6 +292,7 @@
 
     /// Decides what to do with a packet; `packet` is the whole of it.
     pub fn on_segment(&mut self, now: Micros, segment: &Segment, packet: &[u8]) -> Verdict {
+        self.find_stalled(now);
         let verdict = match segment.kind {
             Kind::Open { .. } => self.open(now, segment, packet),
             Kind::Data | Kind::Finish | Kind::Abort => self.follow(now, segment),
@@ -443,6 +476,7 @@
             let progress = flow.follow(now, segment);
             if self.flows.insert(segment.flow, flow) {
                 self.count(id, i32::from(progress == Progress::Asked), 1);
+                self.watch_request(now, &segment.flow);
             }
             return;
         };
@@ -469,7 +503,10 @@
         let Some(flow) = self.flows.get_mut(&segment.flow) else {
             return;
         };
-        match flow.follow(now, segment) {
+        let had_asked = flow.has_asked;
+        let progress = flow.follow(now, segment);
+        let asks = flow.has_asked && (!had_asked || matches!(progress, Progress::Heard { .. }));
+        match progress {
             Progress::None => {}
             Progress::Asked => self.count(id, 1, 0),
             Progress::Heard { waited } => {
@@ -478,7 +515,7 @@
                 self.count(id, change, 0);
                 self.hear(now, id);
                 if let Some(took) = waited {
-                    self.notes.push(Note::Answered { took });
+                    self.note_answer(took);
                 }
             }
             Progress::Resent { asked_at } => {
@@ -487,6 +524,60 @@
                 }
             }
         }
+        if asks {
+            self.watch_request(now, &segment.flow);
+        }
+    }
+
+    fn note_answer(&mut self, took: Millis) {
+        let kept = self.usual_answer_us - self.usual_answer_us / ANSWER_WEIGHT;
+        self.usual_answer_us = kept + took.0 * 1_000 / ANSWER_WEIGHT;
+        self.notes.push(Note::Answered { took });
+    }
+
+    /// Returns the time after which a request counts as stalled.
+    fn stall_limit(&self) -> Millis {
+        Millis(self.usual_answer_us * STALL_FACTOR / 1_000)
+            .max(MIN_STALL)
+            .min(MAX_STALL)
+    }
+
+    fn watch_request(&mut self, now: Micros, id: &FlowId) {
+        self.requests.push_back((now + self.stall_limit(), *id));
+    }
+
+    /// Finds requests that their targets took and did not answer. Callers have not sent them again,
+    /// so they were acknowledged.
+    fn find_stalled(&mut self, now: Micros) {
+        while let Some((due, id)) = self.requests.front().copied() {
+            if due > now {
+                return;
+            }
+            self.requests.pop_front();
+            let Some(flow) = self.flows.get(&id).copied() else {
+                continue;
+            };
+            let Some(asked_at) = flow.asked_at.filter(|_| flow.has_asked && !flow.is_missed) else {
+                continue;
+            };
+            let waited = now.since(asked_at);
+            if waited >= MIN_STALL {
+                self.stalled(now, flow.target, &id, waited);
+            }
+        }
+    }
+
+    fn stalled(&mut self, now: Micros, target: TargetId, flow: &FlowId, waited: Millis) {
+        let is_avoided = self
+            .view
+            .member_mut(target)
+            .is_some_and(|member| member.stalls.note(now));
+        self.notes.push(Note::Stalled {
+            target,
+            flow: *flow,
+            waited,
+            is_avoided,
+        });
     }
 
     fn hear(&mut self, now: Micros, id: TargetId) {
@@ -529,6 +620,10 @@
                 member.silence.hear(now, seen_at);
                 return;
             }
+            Sign::Stalled => {
+                member.stalls.note(now);
+                return;
+            }
             Sign::Missed(asked) => asked,
         };
         let heard_before = now.since(member.silence.heard_at());
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -10,7 +10,7 @@
 
 use crate::model::{Change, Document, Repeat, Route, Target, TargetId, Update};
 use crate::packet::{FlowId, Token};
-use crate::silence::Silence;
+use crate::silence::{Silence, Stalls};
 
 /// Separates the hash that divides a route's flows from other uses of the hash.
 const SHARE_SEED: u64 = 0x706f_6c6c_7368_6172;
@@ -45,6 +45,8 @@
     pub flows: u32,
     /// Evidence that it answers.
     pub silence: Silence,
+    /// Requests that it took and did not answer.
+    pub stalls: Stalls,
 }
 
 /// The view of one instance.
@@ -266,6 +268,7 @@
                 && member.target.address == target.address;
             if !is_same {
                 member.silence = Silence::default();
+                member.stalls = Stalls::default();
             }
             let changed = member.standing != standing || !is_same;
             member.target = target;
@@ -290,6 +293,7 @@
                 waiting: 0,
                 flows: 0,
                 silence: Silence::default(),
+                stalls: Stalls::default(),
             },
         );
         Some(Effect::Target { id, standing })
--- a/crates/steer/tests/silence.rs
+++ b/crates/steer/tests/silence.rs
@@ -4,7 +4,7 @@
 
 use ids::Millis;
 use kit::{LOOKUP, ORDER, World, forwarded};
-use steer::{FlowId, Refusal, TargetId, Verdict};
+use steer::{Asked, Evidence, FlowId, Note, Refusal, Sign, TargetId, Verdict};
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {$(
@@ -161,6 +161,64 @@
         assert_eq!(forwarded(world.data(flows[3], target, 100, 0)).id, target);
     }
 
+    target_that_stalls_requests_gets_no_new_flows => {
+        let mut world = World::new();
+        let (target, flows) = flows_on_one_target(&mut world, 4);
+        for flow in &flows[..3] {
+            world.data(*flow, target, 100, 0);
+        }
+        world.pass(Millis(1_000));
+        // A request that is answered does not clear the target, unlike one lost datagram.
+        world.data(flows[3], target, 100, 0);
+        world.data(flows[3], target, 0, 500);
+        for _ in 0..20 {
+            let flow = world.flow(ORDER);
+            assert_ne!(forwarded(world.open(flow, 0)).id, target);
+        }
+        assert_eq!(forwarded(world.data(flows[0], target, 200, 0)).id, target);
+    }
+
+    slow_answers_of_all_targets_change_nothing => {
+        let mut world = World::new();
+        let (target, flows) = flows_on_one_target(&mut world, 2);
+        for flow in &flows {
+            world.data(*flow, target, 100, 0);
+            world.pass(Millis(240));
+            world.data(*flow, target, 0, 500);
+        }
+        assert!(world.steer.view().members().all(|member| !member.stalls.is_avoided(world.now)));
+    }
+
+    evidence_of_peers_counts_and_is_contradicted => {
+        let mut world = World::new();
+        let (target, flows) = flows_on_one_target(&mut world, 2);
+        let missed = Evidence {
+            target,
+            sign: Sign::Missed(Asked::Request),
+            age: Millis(200),
+        };
+        // This instance heard the target later than the peer's caller asked.
+        for _ in 0..3 {
+            world.steer.on_evidence(world.now, &missed);
+        }
+        let heard = world.steer.take_notes().iter().filter_map(Note::evidence).count();
+        assert_eq!(heard, 3);
+        assert_eq!(forwarded(world.data(flows[0], target, 100, 0)).id, target);
+        world.pass(Millis(500));
+        for _ in 0..3 {
+            world.steer.on_evidence(world.now, &missed);
+        }
+        hear_another(&mut world, target);
+        assert_eq!(
+            world.data(flows[1], target, 100, 0),
+            Verdict::Reset(Refusal::TargetSilent)
+        );
+        // Another peer heard it after all.
+        let heard = Evidence { target, sign: Sign::Heard, age: Millis(0) };
+        world.steer.on_evidence(world.now, &heard);
+        assert_eq!(forwarded(world.data(flows[0], target, 200, 0)).id, target);
+    }
+
     avoided_targets_serve_when_there_are_no_others => {
         let mut world = World::new();
         for _ in 0..40 {
