--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,17 +5,21 @@
 //! core has no sockets, clocks or threads; a driver passes events with the time and carries out
 //! the verdicts. See [running on the platform](../../../docs/platform.md).
 //!
-//! A packet is read in this order: [`packet`], [`steer`], [`flow`], [`place`], [`silence`];
-//! [`model`] and [`view`] hold what is published, [`peers`] decides who reads it.
+//! A packet is read in this order: [`packet`], [`steer`], `opening` with [`place`], `following` with
+//! [`flow`], `judging` with [`silence`], [`verdict`]; [`model`] and [`view`] hold what is published, [`peers`] decides who reads it.
 
 pub mod flow;
+mod following;
+mod judging;
 pub mod model;
+mod opening;
 pub mod packet;
 pub mod peers;
 pub mod place;
 pub mod settings;
 pub mod silence;
 pub mod steer;
+pub mod verdict;
 pub mod view;
 
 pub use model::{Change, Document, Repeat, Route, Share, Target, TargetId, Update};
@@ -23,5 +27,6 @@
 pub use peers::{Peer, Peers};
 pub use settings::Settings;
 pub use silence::{Asked, Evidence, Sign};
-pub use steer::{Destination, Drop, Note, Refusal, Resend, Steer, Verdict};
+pub use steer::Steer;
+pub use verdict::{Destination, Drop, Note, Refusal, Resend, Verdict};
 pub use view::View;
