Add a soak of real daemons under random faults

A loopback proxy harms connections to the store (delay, reset, silence, one way), signals pause, kill, stop and reload daemons, targets crash and drain, the store refuses, falls silent and drops its history, configurations change; all in series that overlap. Checked: flows of live targets are not reset, nothing reaches a wrong target, drains and configurations are in force in time at calm instances, everything serves again afterwards.

--- a/crates/edge/tests/kit/mod.rs
+++ b/crates/edge/tests/kit/mod.rs
@@ -6,11 +6,13 @@
 
 pub mod caller;
 pub mod instance;
+pub mod proxy;
 pub mod store;
 pub mod target;
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use caller::Caller;
@@ -38,6 +40,8 @@
     pub store: Store,
     pub targets: Vec<Target>,
     pub caller: Caller,
+    /// Newest version published by a soak.
+    pub newest: Arc<Mutex<u64>>,
 }
 
 impl Net {
@@ -52,6 +56,7 @@
             store,
             targets: Vec::new(),
             caller,
+            newest: Arc::default(),
         };
         net.store.put("op/config", &document(1, &[ENTRY]));
         for index in 0..count {
@@ -61,7 +66,7 @@
     }
 
     pub async fn add_target(&mut self, index: u8) {
-        let address = SocketAddrV4::new(host(self.prefix, 50 + index), TARGET_PORT);
+        let address = SocketAddrV4::new(host(self.prefix, 20 + index), TARGET_PORT);
         let target = Target::start(0x10 + u64::from(index), address, PACKET_PORT).await;
         self.store.put(&target.key(), &target.report("ready"));
         self.targets.push(target);
@@ -71,6 +76,11 @@
         host(self.prefix, 10 + index)
     }
 
+    /// Returns an address for one more caller.
+    pub fn caller_host(&self, index: u8) -> Ipv4Addr {
+        host(self.prefix, 100 + index)
+    }
+
     pub fn packets(&self, index: u8) -> SocketAddrV4 {
         SocketAddrV4::new(self.instance_host(index), PACKET_PORT)
     }
--- a/crates/edge/tests/kit/target.rs
+++ b/crates/edge/tests/kit/target.rs
@@ -1,7 +1,8 @@
 //! Stand-in for a target: answers callers directly, one answer for each packet with data.
 
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
@@ -10,6 +11,9 @@
 #[path = "packet.rs"]
 pub mod packet;
 
+/// Bound on a drain, as in the settings of the instances.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
 use packet::{ACK, Packet, RST, SYN};
 
 #[derive(Debug, Default)]
@@ -17,6 +21,9 @@
     flows: Vec<SocketAddrV4>,
     requests: usize,
     strays: usize,
+    draining_since: Option<Instant>,
+    /// Senders of flows that came after the bound on a drain.
+    late: Vec<SocketAddr>,
 }
 
 pub struct Target {
@@ -57,6 +64,16 @@
         })
     }
 
+    /// Notes that the target is draining.
+    pub fn drain(&self, at: Instant) {
+        self.data.lock().unwrap().draining_since.get_or_insert(at);
+    }
+
+    /// Returns the senders of flows that came after the bound on a drain, once.
+    pub fn take_late(&self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.data.lock().unwrap().late)
+    }
+
     /// Dies without a word.
     pub fn kill(&self) {
         self.task.abort();
@@ -75,13 +92,13 @@
 async fn serve(socket: UdpSocket, id: u64, caller_port: u16, data: Arc<Mutex<Data>>) {
     let mut buffer = [0; 2_048];
     loop {
-        let (length, _) = socket.recv_from(&mut buffer).await.unwrap();
+        let (length, from) = socket.recv_from(&mut buffer).await.unwrap();
         let meant = u64::from_be_bytes(buffer[..8].try_into().unwrap());
         if meant != id {
             continue;
         }
         let packet = Packet::decode(&buffer[8..length]);
-        let answer = answer(&packet, &mut data.lock().unwrap());
+        let answer = answer(&packet, from, &mut data.lock().unwrap());
         if let Some(answer) = answer {
             let to = SocketAddrV4::new(*packet.from.ip(), caller_port);
             socket.send_to(&answer.encode(), to).await.unwrap();
@@ -89,7 +106,7 @@
     }
 }
 
-fn answer(packet: &Packet, data: &mut Data) -> Option<Packet> {
+fn answer(packet: &Packet, from: SocketAddr, data: &mut Data) -> Option<Packet> {
     let mut answer = Packet {
         echo: packet.echo,
         seq: packet.ack,
@@ -101,6 +118,10 @@
     };
     if packet.flags & SYN != 0 {
         data.flows.push(packet.from);
+        let is_late = |since: Instant| since.elapsed() > DRAIN_LIMIT;
+        if data.draining_since.is_some_and(is_late) {
+            data.late.push(from);
+        }
         answer.flags = SYN | ACK;
         answer.seq = 5_000;
         answer.ack = packet.seq.wrapping_add(1);
--- /dev/null
+++ b/crates/edge/tests/soak.rs
@@ -0,0 +1,471 @@
+//! Randomized faults around real daemons, with the promises checked from what callers and targets
+//! see. `SOAK_SEEDS` names the seeds (`1-50` or `7`), `SOAK_SECONDS` the length of the faults.
+
+#![allow(clippy::unwrap_used)]
+
+mod kit;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use kit::caller::{Caller, Ended};
+use kit::instance::Instance;
+use kit::proxy::{Harm, Proxy};
+use kit::store::Mode;
+use kit::{ENTRY, Net, PACKET_PORT, document, eventually};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+/// Seeds of a plain run: those that ever failed, each with its cause, and one more.
+const SEEDS: [u64; 1] = [1];
+
+const INSTANCES: u8 = 4;
+const TARGETS: u8 = 5;
+const CALLERS: u8 = 6;
+const PROXY_PORT: u16 = 21_010;
+
+/// Time without a fault after which the promises with a time bound hold for a process.
+const CALM: Duration = Duration::from_secs(4);
+
+/// Bound on a change, as in the settings of the instances.
+const CHANGE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Bound on service after the last fault.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+
+/// When each part was last disturbed, and whether routers send to an instance.
+struct Calm {
+    instances: Vec<(Instant, bool)>,
+    targets: Vec<(u64, Instant, bool)>,
+    store: Instant,
+}
+
+impl Calm {
+    fn is_instance(&self, index: usize) -> bool {
+        let (since, is_up) = self.instances[index];
+        is_up && since.elapsed() > CALM
+    }
+
+    fn in_rotation(&self) -> Vec<usize> {
+        let up = |index: &usize| self.instances[*index].1;
+        (0..self.instances.len()).filter(up).collect()
+    }
+}
+
+/// One run with its faults.
+struct Soak {
+    net: Net,
+    proxies: Vec<Proxy>,
+    instances: Vec<Option<Instance>>,
+    calm: Arc<Mutex<Calm>>,
+    broken: Arc<Mutex<Vec<String>>>,
+    random: SmallRng,
+    version: u64,
+    next_target: u8,
+}
+
+/// A fault that ends.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Pause(usize),
+    Kill(usize),
+    Terminate(usize),
+    Proxy(usize, Harm),
+    Store(Mode),
+    Crash(usize),
+    Drain(usize),
+}
+
+impl Soak {
+    async fn new(seed: u64) -> Self {
+        let net = Net::new(TARGETS).await;
+        let mut proxies = Vec::new();
+        for index in 0..INSTANCES {
+            let address = SocketAddr::from((net.instance_host(index), PROXY_PORT));
+            proxies.push(Proxy::start(address, net.store.address).await);
+        }
+        let long_ago = Instant::now().checked_sub(CALM).unwrap();
+        let calm = Calm {
+            instances: vec![(long_ago, true); usize::from(INSTANCES)],
+            targets: net
+                .targets
+                .iter()
+                .map(|target| (target.id, long_ago, true))
+                .collect(),
+            store: long_ago,
+        };
+        let mut soak = Self {
+            net,
+            proxies,
+            instances: (0..INSTANCES).map(|_| None).collect(),
+            calm: Arc::new(Mutex::new(calm)),
+            broken: Arc::default(),
+            random: SmallRng::seed_from_u64(seed),
+            version: 1,
+            next_target: TARGETS,
+        };
+        for index in 0..usize::from(INSTANCES) {
+            soak.start(index);
+        }
+        for instance in soak.instances.iter().flatten() {
+            eventually("the instance is ready", || instance.is_ready()).await;
+        }
+        soak
+    }
+
+    fn start(&mut self, index: usize) {
+        let seeds = [self.net.instance_host(0), self.net.instance_host(1)];
+        let host = self.net.instance_host(index as u8);
+        self.instances[index] = Some(Instance::start(host, &seeds, self.proxies[index].address));
+    }
+
+    fn disturb(&self, index: usize, is_up: bool) {
+        self.calm.lock().unwrap().instances[index] = (Instant::now(), is_up);
+    }
+
+    fn disturb_target(&self, id: u64, is_up: bool) {
+        let mut calm = self.calm.lock().unwrap();
+        calm.targets.retain(|(known, _, _)| *known != id);
+        calm.targets.push((id, Instant::now(), is_up));
+    }
+
+    fn draw(&mut self) -> Fault {
+        let index = self.random.random_range(0..usize::from(INSTANCES));
+        let target = self.random.random_range(0..self.net.targets.len());
+        let harms = [Harm::Delayed, Harm::Reset, Harm::Silent, Harm::OneWay];
+        let harm = *harms.choose(&mut self.random).unwrap();
+        match self.random.random_range(0..9) {
+            0 => Fault::Pause(index),
+            1 => Fault::Kill(index),
+            2 => Fault::Terminate(index),
+            3 | 4 => Fault::Proxy(index, harm),
+            5 => Fault::Store(Mode::Busy),
+            6 => Fault::Store(Mode::Silent),
+            7 => Fault::Crash(target),
+            _ => Fault::Drain(target),
+        }
+    }
+
+    async fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause(index) => {
+                self.disturb(index, false);
+                self.instances[index]
+                    .iter()
+                    .for_each(|instance| instance.signal("STOP"));
+            }
+            Fault::Kill(index) => {
+                self.disturb(index, false);
+                self.instances[index] = None;
+            }
+            Fault::Terminate(index) => {
+                self.disturb(index, false);
+                self.instances[index]
+                    .iter()
+                    .for_each(|instance| instance.signal("TERM"));
+            }
+            Fault::Proxy(index, harm) => {
+                self.disturb(index, true);
+                self.proxies[index].set(harm);
+            }
+            Fault::Store(mode) => {
+                self.calm.lock().unwrap().store = Instant::now();
+                self.net.store.set(mode);
+            }
+            Fault::Crash(target) => {
+                let target = &self.net.targets[target];
+                self.disturb_target(target.id, false);
+                target.kill();
+                self.replace_target().await;
+            }
+            Fault::Drain(target) => {
+                let target = &self.net.targets[target];
+                target.drain(Instant::now());
+                self.net
+                    .store
+                    .put(&target.key(), &target.report("draining"));
+                self.replace_target().await;
+            }
+        }
+    }
+
+    async fn replace_target(&mut self) {
+        let index = self.next_target;
+        self.next_target += 1;
+        self.net.add_target(index).await;
+        let id = self.net.targets.last().unwrap().id;
+        self.disturb_target(id, true);
+    }
+
+    fn end(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause(index) => {
+                self.instances[index]
+                    .iter()
+                    .for_each(|instance| instance.signal("CONT"));
+                self.disturb(index, true);
+            }
+            Fault::Kill(index) | Fault::Terminate(index) => {
+                self.instances[index] = None;
+                self.start(index);
+                self.disturb(index, true);
+            }
+            Fault::Proxy(index, _) => {
+                self.proxies[index].set(Harm::None);
+                self.disturb(index, true);
+            }
+            Fault::Store(_) => {
+                self.net.store.set(Mode::Up);
+                self.calm.lock().unwrap().store = Instant::now();
+            }
+            Fault::Crash(target) | Fault::Drain(target) => {
+                let target = &self.net.targets[target];
+                self.disturb_target(target.id, false);
+                target.kill();
+                self.net.store.delete(&target.key());
+            }
+        }
+    }
+
+    /// Publishes a configuration with one more entry and checks it at every calm instance.
+    fn change(&mut self) {
+        self.version += 1;
+        let entry = SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, 1), 1_000 + self.version as u16);
+        if self.random.random_bool(0.3) {
+            self.net.store.compact();
+        }
+        let changed_at = Instant::now();
+        let was_calm = self.calm.lock().unwrap().store.elapsed() > CALM;
+        self.net
+            .store
+            .put("op/config", &document(self.version, &[ENTRY, entry]));
+        let address = SocketAddrV4::new(
+            self.net.caller_host(50 + (self.version % 100) as u8),
+            PACKET_PORT,
+        );
+        let hosts: Vec<_> = (0..INSTANCES)
+            .map(|index| self.net.packets(index))
+            .collect();
+        let (calm, broken) = (self.calm.clone(), self.broken.clone());
+        let newest = self.version;
+        let seen = self.net.newest.clone();
+        *seen.lock().unwrap() = newest;
+        tokio::spawn(async move {
+            tokio::time::sleep_until((changed_at + CHANGE_LIMIT).into()).await;
+            let mut caller = Caller::bind(address).await;
+            for (index, via) in hosts.into_iter().enumerate() {
+                let is_calm = |calm: &Calm| {
+                    calm.is_instance(index)
+                        && was_calm
+                        && calm.store.elapsed() > changed_at.elapsed() + CALM
+                };
+                if !is_calm(&calm.lock().unwrap()) || *seen.lock().unwrap() != newest {
+                    continue;
+                }
+                let opened = caller.open_to(via, entry).await;
+                if opened.is_err()
+                    && is_calm(&calm.lock().unwrap())
+                    && *seen.lock().unwrap() == newest
+                {
+                    let what = format!("version {newest} is not in force at {via}: {opened:?}");
+                    broken.lock().unwrap().push(what);
+                }
+            }
+        });
+    }
+
+    /// Checks that no calm instance sends flows to a target after the bound on its drain.
+    fn check_drains(&self) {
+        let calm = self.calm.lock().unwrap();
+        for target in &self.net.targets {
+            for sender in target.take_late() {
+                let index =
+                    (0..INSTANCES).position(|index| sender.ip() == self.net.instance_host(index));
+                if index.is_some_and(|index| calm.is_instance(index)) && calm.store.elapsed() > CALM
+                {
+                    let what = format!("{sender} sends flows to {:x}, which drains", target.id);
+                    self.broken.lock().unwrap().push(what);
+                }
+            }
+        }
+    }
+
+    async fn run(&mut self, length: Duration) {
+        for index in 0..CALLERS {
+            let address = SocketAddrV4::new(self.net.caller_host(1 + index), PACKET_PORT);
+            let hosts = (0..INSTANCES)
+                .map(|index| self.net.packets(index))
+                .collect();
+            let caller = Caller::bind(address).await;
+            let random = SmallRng::seed_from_u64(self.random.random());
+            tokio::spawn(call(
+                caller,
+                hosts,
+                self.calm.clone(),
+                self.broken.clone(),
+                random,
+            ));
+        }
+        let until = Instant::now() + length;
+        let mut running: Vec<(Instant, Fault)> = Vec::new();
+        while Instant::now() < until {
+            if running.len() < 3 && self.random.random_bool(0.5) {
+                let fault = self.draw();
+                let is_new = running
+                    .iter()
+                    .all(|(_, other)| subject(other) != subject(&fault));
+                if is_new {
+                    self.begin(fault).await;
+                    let lasts = Duration::from_millis(self.random.random_range(300..4_500));
+                    running.push((Instant::now() + lasts, fault));
+                }
+            }
+            if self.random.random_bool(0.3) {
+                self.change();
+            }
+            if self.random.random_bool(0.2) {
+                let index = self.random.random_range(0..usize::from(INSTANCES));
+                self.instances[index]
+                    .iter()
+                    .for_each(|instance| instance.signal("HUP"));
+            }
+            let pause = Duration::from_millis(self.random.random_range(50..600));
+            tokio::time::sleep(pause).await;
+            self.check_drains();
+            let now = Instant::now();
+            let over: Vec<Fault> = running
+                .extract_if(.., |(end, _)| *end <= now)
+                .map(|(_, fault)| fault)
+                .collect();
+            over.into_iter().for_each(|fault| self.end(fault));
+        }
+        for (_, fault) in running {
+            self.end(fault);
+        }
+    }
+
+    /// Checks that everything is served again, and what targets saw.
+    async fn finish(mut self) -> Vec<String> {
+        let healed_at = Instant::now();
+        for index in 0..INSTANCES {
+            let via = self.net.packets(index);
+            let caller = &mut self.net.caller;
+            let mut is_served = false;
+            while !is_served && healed_at.elapsed() < RECOVERY_LIMIT {
+                is_served = match caller.open(via).await {
+                    Ok(mut flow) => caller.ask(via, &mut flow).await == Ended::Answered,
+                    Err(_) => false,
+                };
+            }
+            if !is_served {
+                let what = format!("no service over {via} after {RECOVERY_LIMIT:?}");
+                self.broken.lock().unwrap().push(what);
+            }
+        }
+        for target in &self.net.targets {
+            if target.strays() > 0 {
+                let what = format!(
+                    "{} packets of foreign flows at {:x}",
+                    target.strays(),
+                    target.id
+                );
+                self.broken.lock().unwrap().push(what);
+            }
+        }
+        let mut broken = std::mem::take(&mut *self.broken.lock().unwrap());
+        broken.dedup();
+        broken
+    }
+}
+
+/// What a fault harms; only one fault at a time harms it.
+fn subject(fault: &Fault) -> (u8, usize) {
+    match fault {
+        Fault::Pause(index) | Fault::Kill(index) | Fault::Terminate(index) => (0, *index),
+        Fault::Proxy(index, _) => (1, *index),
+        Fault::Store(_) => (2, 0),
+        Fault::Crash(target) | Fault::Drain(target) => (3, *target),
+    }
+}
+
+/// Opens flows and sends requests over them through any instance in rotation.
+async fn call(
+    mut caller: Caller,
+    hosts: Vec<SocketAddrV4>,
+    calm: Arc<Mutex<Calm>>,
+    broken: Arc<Mutex<Vec<String>>>,
+    mut random: SmallRng,
+) {
+    loop {
+        let index = calm
+            .lock()
+            .unwrap()
+            .in_rotation()
+            .choose(&mut random)
+            .copied();
+        let Some(index) = index else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let opened = caller.open(hosts[index]).await;
+        let Ok(mut flow) = opened else {
+            let calm = calm.lock().unwrap();
+            if calm.is_instance(index) {
+                let what = format!("no flow over {}: {opened:?}", hosts[index]);
+                broken.lock().unwrap().push(what);
+            }
+            continue;
+        };
+        for _ in 0..random.random_range(1..12) {
+            let choice = calm
+                .lock()
+                .unwrap()
+                .in_rotation()
+                .choose(&mut random)
+                .copied();
+            let Some(index) = choice else { break };
+            let ended = caller.ask(hosts[index], &mut flow).await;
+            if ended == Ended::Answered {
+                tokio::time::sleep(Duration::from_millis(random.random_range(5..150))).await;
+                continue;
+            }
+            let calm = calm.lock().unwrap();
+            let is_alive = calm.targets.iter().any(|(id, since, is_up)| {
+                steer::TargetId(*id).token().0 == flow.echo && *is_up && since.elapsed() > CALM
+            });
+            if ended == Ended::Reset && is_alive {
+                let what = format!("a flow of a live target was reset over {}", hosts[index]);
+                broken.lock().unwrap().push(what);
+            }
+            break;
+        }
+    }
+}
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else {
+        return SEEDS.to_vec();
+    };
+    match text.split_once('-') {
+        Some((first, last)) => (first.parse().unwrap()..=last.parse().unwrap()).collect(),
+        None => vec![text.parse().unwrap()],
+    }
+}
+
+#[tokio::test]
+async fn promises_hold_under_random_faults() {
+    let seconds = std::env::var("SOAK_SECONDS").map_or(15, |text| text.parse().unwrap());
+    let mut failed = Vec::new();
+    for seed in seeds() {
+        let mut soak = Soak::new(seed).await;
+        soak.run(Duration::from_secs(seconds)).await;
+        let broken = soak.finish().await;
+        println!("seed {seed}: {broken:?}");
+        if !broken.is_empty() {
+            failed.push((seed, broken));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
