Reset flows of a lapsed target only after its report had time to return

Cause, found by reading: a report that lapsed with the store's failure is back within 2 s of its return, but is learned up to a second later because changes are gathered; in between idempotent flows of a live target were reset. Change: new flows stop after 2 s as before, open flows are reset after 4 s. A drained target's flows are reset at once when it has left.

--- a/crates/steer/src/following.rs
+++ b/crates/steer/src/following.rs
@@ -54,7 +54,7 @@
             return None;
         }
         let member = self.view.member(id)?;
-        if matches!(member.standing, Standing::Gone(_)) {
+        if matches!(member.standing, Standing::Gone(_)) && now >= member.flows_end_at {
             return Some(Refusal::TargetGone);
         }
         let is_dead = member.silence.is_dead(now) && now.since(self.heard_at) < OTHERS_HEARD_WITHIN;
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -37,6 +37,9 @@
     pub revision: u64,
     /// Whether it takes new flows.
     pub standing: Standing,
+    /// From when on its open flows are dead, once it is gone. The report of a live target that lapsed
+    /// with the store's own failure may be learned some time after it is back.
+    pub flows_end_at: Micros,
     /// Until when it is slow after its start.
     pub warm_at: Micros,
     /// Requests that callers of this instance wait for.
@@ -289,6 +292,7 @@
                 target,
                 revision,
                 standing,
+                flows_end_at: now,
                 warm_at,
                 waiting: 0,
                 flows: 0,
@@ -311,6 +315,11 @@
             return None;
         }
         member.revision = revision;
+        if member.standing == Standing::Serving {
+            member.flows_end_at = now + lapse + lapse;
+        } else if member.standing == Standing::Draining {
+            member.flows_end_at = now;
+        }
         member.standing = match member.standing {
             Standing::Serving if lapse > Millis(0) => Standing::Lapsed(now + lapse),
             Standing::Lapsed(until) => Standing::Lapsed(until),
