--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -118,7 +118,10 @@
             flow_life: settings.flow_life,
             ..steer::Settings::default()
         };
-        let steer = Steer::new(steering, seed);
+        let steer = Steer::new(steering, seed).map_err(|error| Error::Failed {
+            step: "reading the chart of targets",
+            reason: error.to_string(),
+        })?;
         info!(log, "started"; "step" => "start", "packets" => %settings.packets,
             "ready" => %settings.ready, "metrics" => %settings.metrics,
             "store" => %settings.store);
--- a/crates/edge/src/tell.rs
+++ b/crates/edge/src/tell.rs
@@ -3,7 +3,7 @@
 use ids::Micros;
 use slog::{Logger, info, warn};
 use steer::silence::Asked;
-use steer::view::{Effect, Standing};
+use steer::view::Effect;
 use steer::{Drop, FlowId, Note, Refusal, View};
 
 use crate::budget::Budget;
@@ -151,7 +151,7 @@
             }
             Effect::Target { id, standing } => {
                 info!(self.log, "target changed"; "target" => %id,
-                    "to" => standing_name(standing), "revision" => view.revision());
+                    "to" => chart::Label::name(standing), "revision" => view.revision());
             }
         }
     }
@@ -187,12 +187,3 @@
         Refusal::TargetSilent => "target-silent",
     }
 }
-
-fn standing_name(standing: Standing) -> &'static str {
-    match standing {
-        Standing::Serving => "serving",
-        Standing::Draining => "draining",
-        Standing::Lapsed(_) => "lapsed",
-        Standing::Gone(_) => "gone",
-    }
-}
--- a/crates/steer/src/following.rs
+++ b/crates/steer/src/following.rs
@@ -6,9 +6,9 @@
 use crate::model::TargetId;
 use crate::packet::{FlowId, Kind, Segment, Token};
 use crate::silence::Asked;
+use crate::standing::Standing;
 use crate::steer::Steer;
 use crate::verdict::{Drop, Note, Refusal, Verdict};
-use crate::view::Standing;
 
 /// Weight of one answer in the usual answer time, as a divisor.
 const ANSWER_WEIGHT: u64 = 32;
@@ -54,7 +54,7 @@
             return None;
         }
         let member = self.view.member(id)?;
-        if matches!(member.standing, Standing::Gone(_)) && now >= member.flows_end_at {
+        if member.standing == Standing::Gone && now >= member.flows_end_at {
             return Some(Refusal::TargetGone);
         }
         let is_dead = member.silence.is_dead(now) && now.since(self.heard_at) < OTHERS_HEARD_WITHIN;
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -5,7 +5,8 @@
 
 use crate::model::TargetId;
 use crate::settings::Settings;
-use crate::view::{Member, Standing, View};
+use crate::standing::Standing;
+use crate::view::{Member, View};
 
 /// Load of a slow target relative to a warm one.
 const COLD_FACTOR: f32 = 1.6;
@@ -63,7 +64,7 @@
 }
 
 fn takes_flows(view: &View, member: &Member) -> bool {
-    let is_open = matches!(member.standing, Standing::Serving | Standing::Lapsed(_));
+    let is_open = matches!(member.standing, Standing::Serving | Standing::Lapsed);
     let id = member.target.id;
     is_open && view.by_token(id.token()) == Some(id)
 }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -32,11 +32,14 @@
 
 impl Steer {
     /// Creates a steering without a view; `seed` decides between equal targets.
-    pub fn new(settings: Settings, seed: u64) -> Self {
-        Self {
+    ///
+    /// # Errors
+    /// Fails when the chart of a target's standing is not valid.
+    pub fn new(settings: Settings, seed: u64) -> chart::Result<Self> {
+        Ok(Self {
             flows: Flows::new(settings.max_flows),
             settings,
-            view: View::default(),
+            view: View::new()?,
             openings: VecDeque::new(),
             slowest_handshake_us: 0,
             requests: VecDeque::new(),
@@ -44,7 +47,7 @@
             heard_at: Micros(0),
             random: SmallRng::seed_from_u64(seed),
             notes: Vec::new(),
-        }
+        })
     }
 
     /// Returns the view.
@@ -148,7 +151,7 @@
         for (id, waiting, flows) in changes {
             self.count(id, waiting, flows);
         }
-        let effects = self.view.expire(now, life);
+        let effects = self.view.expire(now, self.settings.lapse, life);
         self.notes.extend(effects.into_iter().map(Note::View));
     }
 }
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -11,23 +11,11 @@
 use crate::model::{Change, Document, Repeat, Route, Target, TargetId, Update};
 use crate::packet::{FlowId, Token};
 use crate::silence::{Silence, Stalls};
+use crate::standing::{Chart, Input, Standing, chart};
 
 /// Separates the hash that divides a route's flows from other uses of the hash.
 const SHARE_SEED: u64 = 0x706f_6c6c_7368_6172;
 
-/// Whether a target takes new flows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    /// Takes new flows.
-    Serving,
-    /// Keeps its flows and takes no new ones.
-    Draining,
-    /// Its report disappeared without a drain; counts as serving until the time given.
-    Lapsed(Micros),
-    /// Gone; kept so that packets of its flows can be told from forged ones.
-    Gone(Micros),
-}
-
 /// A target with what is known of it.
 #[derive(Debug)]
 pub struct Member {
@@ -37,6 +25,8 @@
     pub revision: u64,
     /// Whether it takes new flows.
     pub standing: Standing,
+    /// Since when it has this standing.
+    pub since: Micros,
     /// From when on its open flows are dead, once it is gone. The report of a live target that lapsed
     /// with the store's own failure may be learned some time after it is back.
     pub flows_end_at: Micros,
@@ -52,9 +42,27 @@
     pub stalls: Stalls,
 }
 
+impl Member {
+    /// Takes an event of its standing and returns what changed.
+    fn step(&mut self, chart: &Chart, now: Micros, input: Input) -> Option<Effect> {
+        let next = chart.next(self.standing, input)?;
+        self.standing = next;
+        self.since = now;
+        Some(self.effect())
+    }
+
+    fn effect(&self) -> Effect {
+        Effect::Target {
+            id: self.target.id,
+            standing: self.standing,
+        }
+    }
+}
+
 /// The view of one instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct View {
+    chart: Chart,
     revision: u64,
     document_revision: u64,
     version: u64,
@@ -85,6 +93,24 @@
 }
 
 impl View {
+    /// Creates an empty view.
+    ///
+    /// # Errors
+    /// Fails when the chart of a target's standing is not valid.
+    pub fn new() -> chart::Result<Self> {
+        Ok(Self {
+            chart: chart()?,
+            revision: 0,
+            document_revision: 0,
+            version: 0,
+            idle: Millis(0),
+            routes: HashMap::new(),
+            members: HashMap::new(),
+            tokens: HashMap::new(),
+            services: HashMap::new(),
+        })
+    }
+
     /// Returns the revision up to which the view is complete.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -172,7 +198,7 @@
             .members
             .values()
             .filter(|member| member.revision <= revision)
-            .filter(|member| !matches!(member.standing, Standing::Gone(_) | Standing::Lapsed(_)))
+            .filter(|member| !matches!(member.standing, Standing::Gone | Standing::Lapsed))
             .map(|member| member.target.id)
             .collect();
         missing.retain(|id| {
@@ -217,11 +243,7 @@
                     return None;
                 }
                 member.revision = update.revision;
-                member.standing = Standing::Draining;
-                Some(Effect::Target {
-                    id,
-                    standing: Standing::Draining,
-                })
+                member.step(&self.chart, now, Input::Unreadable)
             }
         }
     }
@@ -248,10 +270,10 @@
 
     fn insert(&mut self, now: Micros, revision: u64, target: Target) -> Option<Effect> {
         let id = target.id;
-        let standing = if target.is_draining {
-            Standing::Draining
+        let input = if target.is_draining {
+            Input::Drain
         } else {
-            Standing::Serving
+            Input::Ready
         };
         let warm_at = now + target.warmup;
         if let Some(member) = self.members.get_mut(&id) {
@@ -273,12 +295,11 @@
                 member.silence = Silence::default();
                 member.stalls = Stalls::default();
             }
-            let changed = member.standing != standing || !is_same;
             member.target = target;
             member.revision = revision;
-            member.standing = standing;
             member.warm_at = warm_at;
-            return changed.then_some(Effect::Target { id, standing });
+            let stepped = member.step(&self.chart, now, input);
+            return stepped.or_else(|| (!is_same).then(|| member.effect()));
         }
         self.services
             .entry(target.service.clone())
@@ -286,21 +307,21 @@
             .push(id);
         // Of two targets with one token the first keeps it, and the other gets no flows.
         self.tokens.entry(id.token()).or_insert(id);
-        self.members.insert(
-            id,
-            Member {
-                target,
-                revision,
-                standing,
-                flows_end_at: now,
-                warm_at,
-                waiting: 0,
-                flows: 0,
-                silence: Silence::default(),
-                stalls: Stalls::default(),
-            },
-        );
-        Some(Effect::Target { id, standing })
+        let mut member = Member {
+            target,
+            revision,
+            standing: self.chart.start(),
+            since: now,
+            flows_end_at: now,
+            warm_at,
+            waiting: 0,
+            flows: 0,
+            silence: Silence::default(),
+            stalls: Stalls::default(),
+        };
+        let effect = member.step(&self.chart, now, input);
+        self.members.insert(id, member);
+        effect
     }
 
     fn remove(
@@ -315,38 +336,26 @@
             return None;
         }
         member.revision = revision;
-        if member.standing == Standing::Serving {
-            member.flows_end_at = now + lapse + lapse;
-        } else if member.standing == Standing::Draining {
-            member.flows_end_at = now;
-        }
-        member.standing = match member.standing {
-            Standing::Serving if lapse > Millis(0) => Standing::Lapsed(now + lapse),
-            Standing::Lapsed(until) => Standing::Lapsed(until),
-            Standing::Gone(since) => Standing::Gone(since),
-            _ => Standing::Gone(now),
+        let effect = member.step(&self.chart, now, Input::Removed)?;
+        member.flows_end_at = match member.standing {
+            Standing::Lapsed => now + lapse + lapse,
+            _ => now,
         };
-        Some(Effect::Target {
-            id,
-            standing: member.standing,
-        })
+        Some(effect)
     }
 
     /// Ends the grace of lapsed targets and forgets those that are gone for as long as a flow may
     /// live.
-    pub fn expire(&mut self, now: Micros, flow_life: Millis) -> Vec<Effect> {
+    pub fn expire(&mut self, now: Micros, lapse: Millis, flow_life: Millis) -> Vec<Effect> {
         let mut effects = Vec::new();
         let mut forgotten = Vec::new();
         for (id, member) in &mut self.members {
+            let lasted = now.since(member.since);
             match member.standing {
-                Standing::Lapsed(until) if now >= until => {
-                    member.standing = Standing::Gone(now);
-                    effects.push(Effect::Target {
-                        id: *id,
-                        standing: member.standing,
-                    });
+                Standing::Lapsed if lasted >= lapse => {
+                    effects.extend(member.step(&self.chart, now, Input::Expired));
                 }
-                Standing::Gone(since) if now.since(since) > flow_life => forgotten.push(*id),
+                Standing::Gone if lasted > flow_life => forgotten.push(*id),
                 _ => {}
             }
         }
--- a/crates/steer/tests/kit/mod.rs
+++ b/crates/steer/tests/kit/mod.rs
@@ -1,6 +1,6 @@
 //! A scripted world for tests of steering: two services, targets in two failure domains.
 
-#![allow(dead_code, clippy::panic)]
+#![allow(dead_code, clippy::panic, clippy::unwrap_used)]
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -89,7 +89,7 @@
             ..Settings::default()
         };
         Self {
-            steer: Steer::new(settings, 1),
+            steer: Steer::new(settings, 1).unwrap(),
             now: Micros(1_000_000),
             revision: 0,
             next_port: 1_024,
