--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -109,6 +109,19 @@
         #[arg(long)]
         domain: Option<DomainName>,
     },
+    /// Show what steering daemons believe of their targets.
+    ///
+    /// Findings are daemons that are not ready, configurations that differ, views that are old, and
+    /// targets that a daemon passes over.
+    #[command(after_long_help = "Example:\n  pollenpin steering 10.1.0.10:7720 10.1.0.11:7720")]
+    Steering {
+        /// Metrics addresses of daemons.
+        #[arg(required = true)]
+        addresses: Vec<SocketAddr>,
+        /// Time that a daemon has to answer, in milliseconds.
+        #[arg(long, default_value_t = 3_000, value_parser = clap::value_parser!(u64).range(1..=60_000))]
+        wait_ms: u64,
+    },
     /// Tell the story of one flow from the log lines of steering daemons.
     ///
     /// Lines of all files are put in order by the revision of the view, which all instances share,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The command line `pollenpin`; see [its reference](../../../docs/cli.md).
 
 pub mod args;
+mod ask;
 mod check;
 mod diff;
 mod explain;
@@ -9,6 +10,7 @@
 mod report;
 mod route;
 mod status;
+mod steering;
 mod table;
 
 use std::path::Path;
@@ -36,6 +38,7 @@
             flow,
             domain,
         } => route::run(document, service, *flow, domain.as_ref()),
+        Command::Steering { addresses, wait_ms } => steering::run(addresses, *wait_ms),
         Command::Explain { flow, files } => explain::run(flow, files),
         Command::Completion { shell } => {
             let mut script = Vec::new();
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -7,103 +7,32 @@
 use conf::status::{Reach, Status};
 use serde::Serialize;
 
-use crate::report::{Code, Error, Report, Result};
+use crate::ask::{Answer, ask_all, code, findings_of_unreached};
+use crate::report::{Report, Result};
 use crate::table::Table;
 
-#[derive(Debug, Serialize)]
-struct Answer {
-    address: SocketAddr,
-    status: Option<Status>,
-    error: Option<String>,
-}
-
 #[derive(Debug, Serialize)]
 struct Overview {
-    instances: Vec<Answer>,
+    instances: Vec<Answer<Status>>,
     findings: Vec<String>,
 }
 
 /// Asks instances for their status.
 pub fn run(addresses: &[SocketAddr], details: bool, wait_ms: u64) -> Result<Report> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| Error::Client(error.to_string()))?;
-    let instances = runtime.block_on(ask_all(addresses, Duration::from_millis(wait_ms)))?;
+    let instances = ask_all(addresses, Duration::from_millis(wait_ms))?;
     let findings = findings(&instances);
+    let code = code(&instances, &findings);
     let overview = Overview {
         instances,
         findings,
     };
-    let is_reached = |answer: &Answer| answer.status.is_some();
-    let code = if !overview.instances.iter().all(is_reached) {
-        Code::Unreachable
-    } else if overview.findings.is_empty() {
-        Code::Fine
-    } else {
-        Code::Findings
-    };
     Report::new(render(&overview, details), &overview, code)
 }
 
-async fn ask_all(addresses: &[SocketAddr], wait: Duration) -> Result<Vec<Answer>> {
-    let client = reqwest::Client::builder()
-        .no_proxy()
-        .timeout(wait)
-        .build()
-        .map_err(|error| Error::Client(error.to_string()))?;
-    // All at once, so that instances that do not answer cost one wait and not one each.
-    let asked: Vec<_> = addresses
-        .iter()
-        .map(|address| tokio::spawn(ask(client.clone(), *address)))
-        .collect();
-    let mut answers = Vec::new();
-    for (task, address) in asked.into_iter().zip(addresses) {
-        let outcome = task.await.unwrap_or_else(|error| Err(error.to_string()));
-        let (status, error) = match outcome {
-            Ok(status) => (Some(status), None),
-            Err(error) => (None, Some(error)),
-        };
-        answers.push(Answer {
-            address: *address,
-            status,
-            error,
-        });
-    }
-    Ok(answers)
-}
-
-async fn ask(client: reqwest::Client, address: SocketAddr) -> std::result::Result<Status, String> {
-    let url = format!("http://{address}/status");
-    let answer = client.get(url).send().await.map_err(reason)?;
-    let answer = answer.error_for_status().map_err(reason)?;
-    answer.json().await.map_err(reason)
-}
-
-/// Returns the innermost cause, which names the fault and not the request.
-fn reason(error: reqwest::Error) -> String {
-    if error.is_timeout() {
-        return "no answer in time".to_owned();
-    }
-    let mut cause: &dyn std::error::Error = &error;
-    while let Some(inner) = cause.source() {
-        cause = inner;
-    }
-    cause.to_string()
-}
-
-fn findings(answers: &[Answer]) -> Vec<String> {
-    let mut findings = Vec::new();
-    for answer in answers {
-        match (&answer.status, &answer.error) {
-            (Some(status), _) => findings.extend(findings_of(status)),
-            (None, error) => {
-                let error = error.as_deref().unwrap_or("no status");
-                findings.push(format!("{} cannot be reached: {error}", answer.address));
-            }
-        }
-    }
+fn findings(answers: &[Answer<Status>]) -> Vec<String> {
+    let mut findings = findings_of_unreached(answers);
     let reached = || answers.iter().filter_map(|answer| answer.status.as_ref());
+    findings.extend(reached().flat_map(findings_of));
     let newest = reached().max_by_key(|status| (status.version, status.root_hash));
     for status in reached() {
         let Some(newest) = newest else { break };
--- /dev/null
+++ b/crates/cli/tests/steering.rs
@@ -0,0 +1,48 @@
+//! The view of steering daemons for operators.
+
+#![allow(clippy::expect_used)]
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener};
+
+use clap::Parser;
+use cli::args::Args;
+
+const STATUS: &str = r#"{"instance":"a1","domain":"a","is_ready":false,"view_age_ms":20000,
+"beliefs":{"version":3,"revision":9,"flows":1,"targets":[{"service":"rates","id":"2b","domain":"a",
+"address":"10.0.0.1:80","standing":"serving","is_avoided":true,"waiting":1,"flows":1}]}}"#;
+
+/// Serves one answer and returns its address.
+fn serve_once(body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a call");
+        let mut request = [0; 1_024];
+        let _ = stream.read(&mut request).expect("a request");
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nconnection: close\r\n";
+        let _ = write!(stream, "{head}content-length: {}\r\n\r\n{body}", body.len());
+    });
+    address
+}
+
+fn run(address: &str) -> cli::Report {
+    let arguments = ["pollenpin", "steering", address, "--wait-ms", "2000"];
+    cli::run(&Args::parse_from(arguments)).expect("a report")
+}
+
+#[test]
+fn findings_and_targets_are_shown() {
+    let report = run(&serve_once(STATUS).to_string());
+    assert_eq!(report.code as u8, 1, "{}", report.text);
+    for part in ["a1 is not ready", "a view of 20s", "avoids 2b", "rates"] {
+        assert!(report.text.contains(part), "{part}: {}", report.text);
+    }
+}
+
+#[test]
+fn unreachable_daemon_has_its_own_code() {
+    // Port 1 of this address is not served by anything in a test run.
+    let report = run("127.255.255.1:1");
+    assert_eq!(report.code as u8, 3, "{}", report.text);
+}
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -9,7 +9,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
+use steer::status::Beliefs;
 use steer::{Evidence, Peers, Update};
+use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -62,6 +64,8 @@
     },
     /// What peers saw of targets.
     Evidence(Vec<Evidence>),
+    /// An operator asks for the status.
+    Status(oneshot::Sender<(Beliefs, Millis)>),
 }
 
 /// What a reader works with.
--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -19,7 +19,7 @@
 
 use crate::clock::Clock;
 use crate::feed::{Feed, Reader, Sources};
-use crate::http;
+use crate::http::{self, Operators, Readiness};
 use crate::metrics::Metrics;
 use crate::packets::PacketLoop;
 use crate::peer::meet_peers;
@@ -99,7 +99,7 @@
             change_limit: settings.change_limit,
             clock,
         };
-        tokio::spawn(Reader::new(sources, queue, metrics.clone(), log.clone()).run());
+        tokio::spawn(Reader::new(sources, queue.clone(), metrics.clone(), log.clone()).run());
         if let Some(address) = settings.peer {
             spawn_server(&log, serve_peers(address, relay.clone()));
             let seeds = settings.seeds.clone();
@@ -107,11 +107,20 @@
         }
         let (usable, has_view) = watch::channel(false);
         let (stopping, is_stopping) = watch::channel(false);
-        spawn_server(
-            &log,
-            http::serve_ready(settings.ready, platform::READY_PATH, has_view, is_stopping),
-        );
-        spawn_server(&log, http::serve_metrics(settings.metrics, metrics.clone()));
+        let readiness = Readiness {
+            has_view,
+            is_stopping,
+        };
+        let ready = http::serve_ready(settings.ready, platform::READY_PATH, readiness.clone());
+        spawn_server(&log, ready);
+        let operators = Operators {
+            metrics: metrics.clone(),
+            instance: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            readiness,
+            feeds: queue.clone(),
+        };
+        spawn_server(&log, http::serve_operators(settings.metrics, operators));
         let socket = UdpSocket::from_std(socket).map_err(Error::io("registering the socket"))?;
         let steering = steer::Settings {
             domain: settings.domain.as_str().into(),
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
+use ids::Millis;
 use platform::packet;
 use slog::{Logger, warn};
 use steer::{Destination, Evidence, Steer, Verdict};
@@ -176,6 +177,12 @@
                 }
                 return;
             }
+            Feed::Status(reply) => {
+                let age = Millis(self.confirmed_at.elapsed().as_millis() as u64);
+                // An operator who no longer waits needs no answer.
+                let _ = reply.send((self.steer.beliefs(now), age));
+                return;
+            }
         }
         self.confirmed_at = Instant::now();
         let is_usable = self.steer.view().is_usable();
--- a/crates/edge/tests/kit/instance.rs
+++ b/crates/edge/tests/kit/instance.rs
@@ -33,7 +33,7 @@
         SocketAddrV4::new(self.host, PACKET_PORT)
     }
 
-    async fn get(&self, port: u16, path: &str) -> Option<(u16, String)> {
+    pub async fn get(&self, port: u16, path: &str) -> Option<(u16, String)> {
         let url = format!("http://{}:{port}{path}", self.host);
         let client = reqwest::Client::builder().no_proxy().build().unwrap();
         let response = client.get(url).send().await.ok()?;
--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -9,7 +9,7 @@
 
 use kit::caller::Ended;
 use kit::store::Mode;
-use kit::{ENTRY, Net, document, eventually};
+use kit::{ENTRY, METRICS_PORT, Net, document, eventually};
 
 /// Bound on a change, from the settings of the instances.
 const CHANGE_LIMIT: Duration = Duration::from_secs(3);
@@ -189,6 +189,17 @@
         assert!(net.caller.open(second.packets()).await.is_ok());
     }
 
+    status_tells_the_targets => {
+        let net = Net::new(2).await;
+        let instance = net.ready(0).await;
+        let text = instance.get(METRICS_PORT, "/status").await.unwrap().1;
+        let status: steer::status::Status = serde_json::from_str(&text).unwrap();
+        assert!(status.is_ready);
+        assert_eq!(status.beliefs.version, 1);
+        let standings: Vec<_> = status.beliefs.targets.iter().map(|target| &target.standing).collect();
+        assert_eq!(standings, ["serving", "serving"]);
+    }
+
     bad_values_and_bytes_change_nothing => {
         let mut net = Net::new(1).await;
         let mut instance = net.ready(0).await;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod settings;
 pub mod silence;
 pub mod standing;
+pub mod status;
 pub mod steer;
 pub mod verdict;
 pub mod view;
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -80,7 +80,7 @@
     let requests = member.waiting as f32 + FLOW_WEIGHT * member.flows as f32;
     let load = (requests + 1.0) * slowness / slots;
     Rank {
-        is_avoided: member.silence.is_avoided(now) || member.stalls.is_avoided(now),
+        is_avoided: member.is_avoided(now),
         is_busy: (member.waiting as f32 + 1.0) * slowness > settings.busy_per_slot * slots,
         is_remote,
         load,
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -51,6 +51,11 @@
         Some(self.effect())
     }
 
+    /// Tells whether the target is passed over, since it does not answer or stalls requests.
+    pub fn is_avoided(&self, now: Micros) -> bool {
+        self.silence.is_avoided(now) || self.stalls.is_avoided(now)
+    }
+
     fn effect(&self) -> Effect {
         Effect::Target {
             id: self.target.id,
