Confirm the source when a peer begins to follow, and never follow backwards

Version 8 was not in force 3 s later at two calm instances. Ruled out: the store's stand-in, whose other readers had the version at once. Change: a reader abandons its watch and asks the store when it is followed; a complete view older than the own one is passed over.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -150,7 +150,7 @@
                 _ => self.read().await,
             };
             match result {
-                Ok(()) => self.regained(),
+                Ok(()) => {}
                 Err(Error::Compacted { peer }) => {
                     self.count("compacted");
                     info!(self.log, "history is gone, reading again"; "step" => "store",
@@ -200,17 +200,24 @@
         info!(self.log, "store read"; "step" => "store", "revision" => revision,
             "items" => partial.updates.len());
         self.is_behind = false;
+        self.regained();
         self.replace(revision, partial.updates);
         Ok(())
     }
 
     async fn watch(&mut self, after: u64) -> platform::Result<()> {
         let limit = answer_limit(&self.sources);
-        let changes = self
-            .sources
-            .store
-            .watch(after, self.watch_wait(), limit)
-            .await?;
+        let watched = self.sources.store.watch(after, self.watch_wait(), limit);
+        let changes = tokio::select! {
+            changes = watched => changes?,
+            // A follower relies on this instance from now on, so it must not wait for an answer that
+            // may never come.
+            () = self.sources.relay.joined() => {
+                self.is_doubtful = true;
+                return Ok(());
+            }
+        };
+        self.regained();
         self.count("watch");
         self.tell_refused(&changes.refused);
         let is_news = !changes.updates.is_empty();
@@ -260,11 +267,13 @@
             let part = followed.next(HEARTBEAT * MISSED_HEARTBEATS).await?;
             let updates = relay::decode(&part).map_err(|error| error.to_string())?;
             self.sources.relay.take_from_upstream(&part.evidence);
-            if part.is_complete {
+            // A peer that is behind catches up or says that its source does not answer.
+            let is_behind_us = !self.is_behind && Some(part.revision) < self.revision;
+            if part.is_complete && !is_behind_us {
                 self.is_behind = false;
                 self.partial = Partial::default();
                 self.replace(part.revision, updates);
-            } else {
+            } else if !part.is_complete {
                 self.update(part.revision, updates);
             }
             if only_once {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -8,7 +8,7 @@
 use ids::Millis;
 use slog::{Logger, info};
 use steer::{Change, Evidence, Peers, TargetId, Update};
-use tokio::sync::{broadcast, mpsc};
+use tokio::sync::{Notify, broadcast, mpsc};
 use tokio_stream::Stream;
 use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::Relay;
@@ -40,6 +40,8 @@
     parts: broadcast::Sender<ViewPart>,
     /// Requests to the peer that is followed, while there is one.
     upstream: Arc<Mutex<Option<mpsc::Sender<FollowRequest>>>>,
+    /// Told when a peer begins to follow.
+    joined: Arc<Notify>,
     /// Evidence of peers for the packet loop.
     feeds: flume::Sender<Feed>,
     peers: Arc<Mutex<Peers>>,
@@ -67,6 +69,7 @@
             published: Arc::default(),
             parts: broadcast::Sender::new(QUEUE_PARTS),
             upstream: Arc::default(),
+            joined: Arc::default(),
             feeds,
             peers,
             origin,
@@ -198,6 +201,11 @@
         self.send(part);
     }
 
+    /// Waits until a peer begins to follow this instance.
+    pub async fn joined(&self) {
+        self.joined.notified().await;
+    }
+
     /// Tells whether a peer follows this instance.
     pub fn has_followers(&self) -> bool {
         self.parts.receiver_count() > 0
@@ -315,6 +323,7 @@
             .ok_or_else(|| Status::unavailable("no view yet"))?;
         info!(self.log, "follower joined"; "step" => "relay", "peer" => follower,
             "revision" => first.revision, "complete" => first.is_complete);
+        self.joined.notify_one();
         let (queue, parts) = flume::bounded(QUEUE_PARTS);
         tokio::spawn(feed_follower(self.clone(), first, news, queue));
         tokio::spawn(hear_follower(self.clone(), requests));
