--- a/crates/edge/src/bin/edge.rs
+++ b/crates/edge/src/bin/edge.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use edge::life::Daemon;
+use edge::life::{Daemon, Signals};
 use platform::Settings;
 use slog::{Level, o};
 
@@ -38,6 +38,15 @@
 }
 
 fn run(options: Options) -> edge::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(edge::Error::io("starting the runtime"))?;
+    runtime.block_on(live(options))
+}
+
+async fn live(options: Options) -> edge::Result<()> {
+    let signals = Signals::listen()?;
     let file = options.settings.unwrap_or_else(platform::settings_file);
     let settings = Settings::read(&file)?;
     let values = o!(
@@ -45,13 +54,7 @@
         "domain" => settings.domain.clone(),
     );
     let (log, _flush) = logs::logger(Level::Info, values);
-    let daemon = Daemon::bind(settings, log)?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(edge::Error::io("starting the runtime"))?;
-    runtime.block_on(async {
-        daemon.start()?.serve().await?.finish().await;
-        Ok(())
-    })
+    let daemon = Daemon::bind(settings, signals, log)?;
+    daemon.start()?.serve().await.finish().await;
+    Ok(())
 }
--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -38,6 +38,31 @@
 pub struct Starting {
     socket: std::net::UdpSocket,
     settings: Settings,
+    signals: Signals,
+}
+
+/// Signals that the daemon handles.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    /// Begins to listen, inside a runtime. To be called before anything else, since a signal ends a
+    /// process that does not listen yet.
+    ///
+    /// # Errors
+    /// Fails when the system refuses a handler.
+    pub fn listen() -> Result<Self> {
+        let on = |kind| signal(kind).map_err(Error::io("listening for signals"));
+        Ok(Self {
+            terminate: on(SignalKind::terminate())?,
+            interrupt: on(SignalKind::interrupt())?,
+            reload: on(SignalKind::hangup())?,
+        })
+    }
 }
 
 /// Packets are forwarded.
@@ -47,6 +72,7 @@
     feeds: flume::Receiver<Feed>,
     stopping: watch::Sender<bool>,
     settings: Settings,
+    signals: Signals,
 }
 
 /// Not ready any more; packets are still forwarded.
@@ -69,12 +95,16 @@
     ///
     /// # Errors
     /// Fails when the address is taken or not this machine's.
-    pub fn bind(settings: Settings, log: Logger) -> Result<Self> {
+    pub fn bind(settings: Settings, signals: Signals, log: Logger) -> Result<Self> {
         let step = format!("binding {}", settings.packets);
         let socket = std::net::UdpSocket::bind(settings.packets).map_err(Error::io(&*step))?;
         socket.set_nonblocking(true).map_err(Error::io(step))?;
         Ok(Self {
-            state: Starting { socket, settings },
+            state: Starting {
+                socket,
+                settings,
+                signals,
+            },
             log,
         })
     }
@@ -85,7 +115,11 @@
     /// Fails when a client or the metrics cannot be set up.
     pub fn start(self) -> Result<Daemon<Serving>> {
         let Self { state, log } = self;
-        let Starting { socket, settings } = state;
+        let Starting {
+            socket,
+            settings,
+            signals,
+        } = state;
         let metrics = Metrics::new()?;
         let clock = Clock::start();
         let (queue, feeds) = flume::unbounded();
@@ -141,6 +175,7 @@
                 feeds,
                 stopping,
                 settings,
+                signals,
             },
             log,
         })
@@ -178,13 +213,12 @@
 
 impl Daemon<Serving> {
     /// Serves until a signal asks to stop.
-    ///
-    /// # Errors
-    /// Fails when signals cannot be listened to.
-    pub async fn serve(mut self) -> Result<Daemon<Stopping>> {
-        let mut terminate = listen(SignalKind::terminate())?;
-        let mut interrupt = listen(SignalKind::interrupt())?;
-        let mut reload = listen(SignalKind::hangup())?;
+    pub async fn serve(mut self) -> Daemon<Stopping> {
+        let Signals {
+            terminate,
+            interrupt,
+            reload,
+        } = &mut self.state.signals;
         let log = self.log.clone();
         let stop = async {
             loop {
@@ -200,14 +234,14 @@
         let limit = self.state.settings.stop_limit.0;
         let linger = LINGER.min(Millis(limit.saturating_sub(STOP_MARGIN.0)));
         info!(self.log, "stopping"; "step" => "stop", "linger" => %linger);
-        Ok(Daemon {
+        Daemon {
             state: Stopping {
                 packets: self.state.packets,
                 feeds: self.state.feeds,
                 linger,
             },
             log: self.log,
-        })
+        }
     }
 }
 
@@ -229,7 +263,3 @@
             "reason" => %error),
     }
 }
-
-fn listen(kind: SignalKind) -> Result<Signal> {
-    signal(kind).map_err(Error::io("listening for signals"))
-}
--- a/crates/edge/tests/kit/instance.rs
+++ b/crates/edge/tests/kit/instance.rs
@@ -4,11 +4,13 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::process::{Child, Command};
+use std::time::{Duration, Instant};
 
 use super::{METRICS_PORT, PACKET_PORT, PEER_PORT, READY_PORT};
 
 pub struct Instance {
     process: Child,
+    started_at: Instant,
     host: Ipv4Addr,
     file: PathBuf,
 }
@@ -31,11 +33,16 @@
             .unwrap();
         Self {
             process,
+            started_at: Instant::now(),
             host,
             file,
         }
     }
 
+    pub fn age(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
     pub fn packets(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.host, PACKET_PORT)
     }
