Never send an unencoded view as an empty one; remove an unused field

An empty complete part would have removed every target at followers. It could not happen with the types of today; now it would be logged and not sent.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -6,7 +6,7 @@
 
 use hashbrown::HashMap;
 use ids::Millis;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use steer::{Change, Evidence, Peers, TargetId, Update};
 use tokio::sync::{Notify, broadcast, mpsc};
 use tokio_stream::Stream;
@@ -166,7 +166,7 @@
         published.revision = revision;
         let part = published.complete();
         drop(published);
-        self.send(part);
+        self.send_encoded(part);
     }
 
     /// Takes changes up to a revision.
@@ -176,16 +176,10 @@
             published.take(update);
         }
         published.revision = published.revision.max(revision);
-        let part = ViewPart {
-            revision: published.revision,
-            is_complete: false,
-            is_current: published.is_current,
-            updates: encode(updates),
-            evidence: Vec::new(),
-        };
+        let part = published.part(false, updates);
         drop(published);
         if !updates.is_empty() {
-            self.send(part);
+            self.send_encoded(part);
         }
     }
 
@@ -211,20 +205,33 @@
         self.parts.receiver_count() > 0
     }
 
+    /// Sends a part, unless it could not be encoded. Followers go on with what they have, and take a
+    /// complete part when they begin again.
+    fn send_encoded(&self, part: postcard::Result<ViewPart>) {
+        match part {
+            Ok(part) => self.send(part),
+            Err(error) => warn!(self.log, "view not encoded"; "step" => "relay",
+                "reason" => %error),
+        }
+    }
+
     fn send(&self, part: ViewPart) {
         // Without followers nobody receives it.
         let _ = self.parts.send(part);
     }
 
     /// Returns the first part for a follower that has a revision.
-    fn first_part(&self, revision: u64) -> Option<ViewPart> {
+    fn first_part(&self, revision: u64) -> Result<ViewPart, Status> {
         let published = locked(&self.published);
-        published.document.as_ref()?;
-        Some(if revision == published.revision {
-            published.heartbeat()
-        } else {
-            published.complete()
-        })
+        if published.document.is_none() {
+            return Err(Status::unavailable("no view yet"));
+        }
+        if revision == published.revision {
+            return Ok(published.heartbeat());
+        }
+        published
+            .complete()
+            .map_err(|error| Status::internal(error.to_string()))
     }
 }
 
@@ -254,21 +261,21 @@
         }
     }
 
-    fn complete(&self) -> ViewPart {
+    fn complete(&self) -> postcard::Result<ViewPart> {
         let updates: Vec<&Update> = self.document.iter().chain(self.targets.values()).collect();
-        ViewPart {
-            revision: self.revision,
-            is_complete: true,
-            is_current: self.is_current,
-            updates: encode(&updates),
-            evidence: Vec::new(),
-        }
+        self.part(true, &updates)
     }
-}
 
-fn encode<T: serde::Serialize + ?Sized>(updates: &T) -> Vec<u8> {
-    // Only types without a length or with too deep a nesting fail, and there are none.
-    postcard::to_allocvec(updates).unwrap_or_default()
+    fn part<T>(&self, is_complete: bool, updates: &T) -> postcard::Result<ViewPart>
+    where
+        T: serde::Serialize + ?Sized,
+    {
+        Ok(ViewPart {
+            is_complete,
+            updates: postcard::to_allocvec(updates)?,
+            ..self.heartbeat()
+        })
+    }
 }
 
 /// Decodes the updates of a part.
@@ -318,9 +325,7 @@
             .message()
             .await?
             .map_or(0, |request| request.revision);
-        let first = self
-            .first_part(revision)
-            .ok_or_else(|| Status::unavailable("no view yet"))?;
+        let first = self.first_part(revision)?;
         info!(self.log, "follower joined"; "step" => "relay", "peer" => follower,
             "revision" => first.revision, "complete" => first.is_complete);
         self.joined.notify_one();
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -6,7 +6,8 @@
 //! the verdicts. See [running on the platform](../../../docs/platform.md).
 //!
 //! A packet is read in this order: [`packet`], [`steer`], `opening` with [`place`], `following` with
-//! [`flow`], `judging` with [`silence`], [`verdict`]; [`model`] and [`view`] hold what is published, [`peers`] decides who reads it.
+//! [`flow`], `judging` with [`silence`], [`verdict`]. [`model`], [`view`] and [`standing`] hold what is
+//! published, [`peers`] decides who reads it, and [`status`] shows all of it.
 
 pub mod flow;
 mod following;
--- a/crates/steer/src/model.rs
+++ b/crates/steer/src/model.rs
@@ -60,8 +60,6 @@
     pub shares: Vec<Share>,
     /// Whether its requests may run a second time.
     pub repeat: Repeat,
-    /// Time within which an answer has its full value.
-    pub latency_goal: Millis,
 }
 
 /// The configuration.
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -390,7 +390,7 @@
         }
     }
 
-    /// Tells whether a lapsed or served target's idempotent flows exist on this route.
+    /// Tells whether requests to an entry may run a second time; without a route they may not.
     pub fn is_idempotent(&self, entry: SocketAddrV4) -> bool {
         self.route(entry)
             .is_some_and(|route| route.repeat == Repeat::Idempotent)
--- a/crates/steer/tests/kit/mod.rs
+++ b/crates/steer/tests/kit/mod.rs
@@ -25,7 +25,6 @@
             weight: 1,
         }],
         repeat,
-        latency_goal: Millis(150),
     }
 }
 
