--- a/crates/steer/src/following.rs
+++ b/crates/steer/src/following.rs
@@ -44,12 +44,7 @@
 
     /// Tells whether the caller is better served by a new flow: its target cannot answer, and its
     /// request may run again.
-    pub(crate) fn reason_to_reset(
-        &self,
-        now: Micros,
-        id: TargetId,
-        segment: &Segment,
-    ) -> Option<Refusal> {
+    fn reason_to_reset(&self, now: Micros, id: TargetId, segment: &Segment) -> Option<Refusal> {
         if segment.data_bytes == 0 || !self.view.is_idempotent(segment.flow.entry) {
             return None;
         }
@@ -62,7 +57,7 @@
     }
 
     /// Learns from a packet of an open flow.
-    pub(crate) fn observe(&mut self, now: Micros, id: TargetId, segment: &Segment) {
+    fn observe(&mut self, now: Micros, id: TargetId, segment: &Segment) {
         let Some(flow) = self.flows.get_mut(&segment.flow) else {
             if segment.kind != Kind::Data {
                 return;
@@ -124,13 +119,13 @@
         }
     }
 
-    pub(crate) fn note_answer(&mut self, took: Millis) {
+    fn note_answer(&mut self, took: Millis) {
         let kept = self.usual_answer_us - self.usual_answer_us / ANSWER_WEIGHT;
         self.usual_answer_us = kept + took.0 * 1_000 / ANSWER_WEIGHT;
         self.notes.push(Note::Answered { took });
     }
 
-    pub(crate) fn watch_request(&mut self, now: Micros, id: &FlowId) {
+    fn watch_request(&mut self, now: Micros, id: &FlowId) {
         self.requests.push_back((now + self.stall_limit(), *id));
     }
 }
--- a/crates/steer/src/judging.rs
+++ b/crates/steer/src/judging.rs
@@ -112,7 +112,7 @@
         }
     }
 
-    pub(crate) fn stalled(&mut self, now: Micros, target: TargetId, flow: &FlowId, waited: Millis) {
+    fn stalled(&mut self, now: Micros, target: TargetId, flow: &FlowId, waited: Millis) {
         let is_avoided = self
             .view
             .member_mut(target)
--- a/crates/steer/src/opening.rs
+++ b/crates/steer/src/opening.rs
@@ -53,13 +53,7 @@
     }
 
     /// Enters a new flow into the table and waits for its handshake.
-    pub(crate) fn begin(
-        &mut self,
-        now: Micros,
-        segment: &Segment,
-        packet: &[u8],
-        target: TargetId,
-    ) {
+    fn begin(&mut self, now: Micros, segment: &Segment, packet: &[u8], target: TargetId) {
         let mut tried = Tried::default();
         tried.push(target);
         let mut kept = [0; OPENING_BYTES];
@@ -81,13 +75,7 @@
     }
 
     /// Sends the opening packet of a flow to one more target, or again to the last one.
-    pub(crate) fn open_again(
-        &mut self,
-        now: Micros,
-        id: &FlowId,
-        tried: Tried,
-        waits: bool,
-    ) -> Verdict {
+    fn open_again(&mut self, now: Micros, id: &FlowId, tried: Tried, waits: bool) -> Verdict {
         let next = if waits {
             tried.last()
         } else {
@@ -97,12 +85,7 @@
     }
 
     /// Holds the last target silent for this flow and chooses another one.
-    pub(crate) fn try_next(
-        &mut self,
-        now: Micros,
-        id: &FlowId,
-        mut tried: Tried,
-    ) -> Option<TargetId> {
+    fn try_next(&mut self, now: Micros, id: &FlowId, mut tried: Tried) -> Option<TargetId> {
         let flow = self.flows.get_mut(id)?;
         let Stage::Opening { sent_at, .. } = flow.stage else {
             return None;
@@ -140,7 +123,7 @@
         Some(next)
     }
 
-    pub(crate) fn forward_open(&self, target: Option<TargetId>) -> Verdict {
+    fn forward_open(&self, target: Option<TargetId>) -> Verdict {
         match target.and_then(|id| self.destination(id)) {
             Some(to) => Verdict::Forward {
                 to,
@@ -150,7 +133,7 @@
         }
     }
 
-    pub(crate) fn note_placed(&mut self, flow: FlowId, target: TargetId, tried: usize) {
+    fn note_placed(&mut self, flow: FlowId, target: TargetId, tried: usize) {
         let Some(member) = self.view.member(target) else {
             return;
         };
@@ -169,7 +152,7 @@
     }
 
     /// Returns the time after which an opening packet counts as unanswered.
-    pub(crate) fn handshake_limit(&self) -> Millis {
+    fn handshake_limit(&self) -> Millis {
         let limit = Millis(self.slowest_handshake_us * HANDSHAKE_FACTOR / 1_000);
         limit
             .max(self.settings.min_handshake)
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -8,8 +8,9 @@
 use crate::standing::Standing;
 use crate::view::{Member, View};
 
-/// Load of a slow target relative to a warm one.
-const COLD_FACTOR: f32 = 1.6;
+/// Load of a target that has just started relative to a warm one. Reports tell how long it stays
+/// slow and not how slow it is; at twice the load it still gets its first flows.
+const COLD_FACTOR: f32 = 2.0;
 
 /// Weight of an open flow relative to a request under way. Long flows send requests now and then.
 const FLOW_WEIGHT: f32 = 0.05;
