End a stopping instance when the routers have left

Cause: a stopped instance forwarded for 3.5 s whatever came, and with 0.5 s to start again it was away for 4 s. Ruled out: a shorter fixed time. Change: it forwards for 1.5 s, then until no packet has come for 0.5 s, and for 3.5 s at most. Test: stopping_instance_ends_when_routers_have_left failed before; stopping_instance_forwards_while_packets_arrive holds before and after.

--- a/crates/edge/src/life.rs
+++ b/crates/edge/src/life.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ids::Millis;
 use platform::{Settings, Store};
@@ -26,9 +26,16 @@
 use crate::relay::Relayed;
 use crate::{Error, Result};
 
-/// Time for which a stopping instance goes on forwarding. Routers take it out of rotation after two
-/// missed checks, which are half a second apart, and packets on their way follow.
-const LINGER: Millis = Millis(3_500);
+/// Time for which a stopping instance goes on forwarding in any case. Routers take it out of rotation
+/// after two missed checks, which are half a second apart, and packets on their way follow.
+const MIN_LINGER: Millis = Millis(1_500);
+
+/// Time without packets after which the routers have left. A shorter pause may be one of few callers.
+const QUIET: Millis = Millis(500);
+
+/// Longest time for which it goes on while packets arrive. Routers that miss most instances of a failure
+/// domain use them all, whether they are ready or not.
+const MAX_LINGER: Millis = Millis(3_500);
 
 /// Time kept back before the process would be ended by force.
 const STOP_MARGIN: Millis = Millis(1_000);
@@ -232,7 +239,7 @@
         self.state.packets.run(&self.state.feeds, stop).await;
         self.state.stopping.send_replace(true);
         let limit = self.state.settings.stop_limit.0;
-        let linger = LINGER.min(Millis(limit.saturating_sub(STOP_MARGIN.0)));
+        let linger = MAX_LINGER.min(Millis(limit.saturating_sub(STOP_MARGIN.0)));
         info!(self.log, "stopping"; "step" => "stop", "linger" => %linger);
         Daemon {
             state: Stopping {
@@ -246,14 +253,26 @@
 }
 
 impl Daemon<Stopping> {
-    /// Forwards until routers send their packets elsewhere.
+    /// Forwards until routers send their packets elsewhere. An instance that is away for less time
+    /// leaves less to the others, of which several may be stopped in turn.
     pub async fn finish(mut self) {
-        let linger = tokio::time::sleep(Duration::from_millis(self.state.linger.0));
-        self.state.packets.run(&self.state.feeds, linger).await;
-        info!(self.log, "stopped"; "step" => "stop");
+        let began_at = Instant::now();
+        let mut span = MIN_LINGER.min(self.state.linger);
+        while span > Millis(0) {
+            let pause = tokio::time::sleep(Duration::from_millis(span.0));
+            self.state.packets.run(&self.state.feeds, pause).await;
+            let left = self.state.linger.0.saturating_sub(millis_since(began_at).0);
+            let quiet = millis_since(self.state.packets.received_at());
+            span = Millis(QUIET.0.saturating_sub(quiet.0).min(left));
+        }
+        info!(self.log, "stopped"; "step" => "stop", "after" => %millis_since(began_at));
     }
 }
 
+fn millis_since(at: Instant) -> Millis {
+    Millis(at.elapsed().as_millis() as u64)
+}
+
 /// Reads the settings again. Addresses and names hold for the life of a process.
 fn reload(log: &Logger, current: &Settings) {
     match Settings::read(&platform::settings_file()) {
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -38,6 +38,7 @@
     log: Logger,
     clock: Clock,
     confirmed_at: Instant,
+    received_at: Instant,
     ready: watch::Sender<bool>,
     buffer: [u8; BUFFER_BYTES],
 }
@@ -63,6 +64,7 @@
             log,
             clock,
             confirmed_at: Instant::now(),
+            received_at: Instant::now(),
             ready,
             buffer: [0; BUFFER_BYTES],
         }
@@ -96,7 +98,13 @@
         }
     }
 
+    /// Returns when packets were last received.
+    pub fn received_at(&self) -> Instant {
+        self.received_at
+    }
+
     fn receive(&mut self) {
+        self.received_at = Instant::now();
         for _ in 0..BATCH {
             let room = &mut self.buffer[packet::PREFIX_BYTES..];
             let length = match self.socket.try_recv(room) {
--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -90,6 +90,32 @@
         assert_eq!(instance.has_ended(), Some(0));
     }
 
+    stopping_instance_ends_when_routers_have_left => {
+        let net = Net::new(1).await;
+        let mut instance = net.ready(0).await;
+        let began = Instant::now();
+        instance.signal("TERM");
+        while instance.has_ended().is_none() {
+            // Every moment more is one in which the others have to carry its share.
+            assert!(began.elapsed() < Duration::from_secs(3), "it waits for nobody");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(began.elapsed() >= Duration::from_secs(1), "routers need two missed checks");
+    }
+
+    stopping_instance_forwards_while_packets_arrive => {
+        let mut net = Net::new(1).await;
+        let instance = net.ready(0).await;
+        let mut flow = net.caller.open(instance.packets()).await.unwrap();
+        let began = Instant::now();
+        instance.signal("TERM");
+        while began.elapsed() < Duration::from_secs(3) {
+            let ended = net.caller.ask(instance.packets(), &mut flow).await;
+            assert_eq!(ended, Ended::Answered);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     hangup_does_not_end_the_process => {
         let mut net = Net::new(1).await;
         let mut instance = net.ready(0).await;
