Count a request as stalled once, and only against targets that stand out

Cause: after each change of rotation, requests whose answers are acknowledged through another instance counted as stalled, on all targets at once, and a request counted again for each earlier one of its flow. Ruled out: stalls seen at the end of a flow only. Change: an entry names the request that it waits for; a target is passed over only with more than three times the mean of its service's other targets. Tests: a_stalled_request_counts_once, flows_that_routers_send_elsewhere_leave_all_targets_in_use; both failed before.

--- a/crates/steer/src/following.rs
+++ b/crates/steer/src/following.rs
@@ -4,7 +4,7 @@
 
 use crate::flow::{Flow, Progress, Stage};
 use crate::model::TargetId;
-use crate::packet::{FlowId, Kind, Segment, Token};
+use crate::packet::{Kind, Segment, Token};
 use crate::silence::Asked;
 use crate::standing::Standing;
 use crate::steer::Steer;
@@ -124,8 +124,4 @@
         self.usual_answer_us = kept + took.0 * 1_000 / ANSWER_WEIGHT;
         self.notes.push(Note::Answered { took });
     }
-
-    fn watch_request(&mut self, now: Micros, id: &FlowId) {
-        self.requests.push_back((now + self.stall_limit(), *id));
-    }
 }
--- a/crates/steer/src/judging.rs
+++ b/crates/steer/src/judging.rs
@@ -17,6 +17,21 @@
 
 const MAX_STALL: Millis = Millis(1_000);
 
+/// Multiple of the mean of a service's other targets that a target's stalled requests have to exceed.
+/// When routers send flows to another instance, their answers are not seen here, and requests to all
+/// targets seem to stall alike.
+const STALL_OUTLIER: u32 = 3;
+
+/// A request under way.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Request {
+    /// When it counts as stalled.
+    due: Micros,
+    /// When it was sent; tells it from a later one of the same flow.
+    asked_at: Micros,
+    flow: FlowId,
+}
+
 impl Steer {
     pub(crate) fn hear(&mut self, now: Micros, id: TargetId) {
         self.heard_at = now;
@@ -66,7 +81,7 @@
                 return;
             }
             Sign::Stalled => {
-                member.stalls.note(now);
+                self.note_stalled(now, evidence.target);
                 return;
             }
             Sign::Missed(asked) => asked,
@@ -85,38 +100,40 @@
     }
 
     /// Returns the time after which a request counts as stalled.
-    pub(crate) fn stall_limit(&self) -> Millis {
+    fn stall_limit(&self) -> Millis {
         Millis(self.usual_answer_us * STALL_FACTOR / 1_000)
             .max(MIN_STALL)
             .min(MAX_STALL)
     }
 
+    pub(crate) fn watch_request(&mut self, now: Micros, flow: &FlowId) {
+        self.requests.push_back(Request {
+            due: now + self.stall_limit(),
+            asked_at: now,
+            flow: *flow,
+        });
+    }
+
     /// Finds requests that their targets took and did not answer. Callers have not sent them again,
     /// so they were acknowledged.
     pub(crate) fn find_stalled(&mut self, now: Micros) {
-        while let Some((due, id)) = self.requests.front().copied() {
-            if due > now {
+        while let Some(request) = self.requests.front().copied() {
+            if request.due > now {
                 return;
             }
             self.requests.pop_front();
-            let Some(flow) = self.flows.get(&id).copied() else {
-                continue;
-            };
-            let Some(asked_at) = flow.asked_at.filter(|_| flow.has_asked && !flow.is_missed) else {
+            let Some(flow) = self.flows.get(&request.flow).copied() else {
                 continue;
             };
-            let waited = now.since(asked_at);
-            if waited >= MIN_STALL {
-                self.stalled(now, flow.target, &id, waited);
+            if flow.has_asked && !flow.is_missed && flow.asked_at == Some(request.asked_at) {
+                let waited = now.since(request.asked_at);
+                self.stalled(now, flow.target, &request.flow, waited);
             }
         }
     }
 
     fn stalled(&mut self, now: Micros, target: TargetId, flow: &FlowId, waited: Millis) {
-        let is_avoided = self
-            .view
-            .member_mut(target)
-            .is_some_and(|member| member.stalls.note(now));
+        let is_avoided = self.note_stalled(now, target);
         self.notes.push(Note::Stalled {
             target,
             flow: *flow,
@@ -124,4 +141,26 @@
             is_avoided,
         });
     }
+
+    /// Counts a stalled request. Returns whether its target is avoided from now on and was not before.
+    fn note_stalled(&mut self, now: Micros, target: TargetId) -> bool {
+        let Some(member) = self.view.member_mut(target) else {
+            return false;
+        };
+        let count = member.stalls.note(now);
+        let service = member.target.service.clone();
+        let (mut others, mut total) = (0, 0);
+        for other in self.view.of_service(&service) {
+            if other.target.id != target {
+                others += 1;
+                total += other.stalls.count(now);
+            }
+        }
+        if count * others <= STALL_OUTLIER * total {
+            return false;
+        }
+        self.view
+            .member_mut(target)
+            .is_some_and(|member| member.stalls.judge(now))
+    }
 }
--- a/crates/steer/src/silence.rs
+++ b/crates/steer/src/silence.rs
@@ -146,15 +146,28 @@
 }
 
 impl Stalls {
-    /// A request has had no answer for long. Returns whether the target is avoided from now on and
-    /// was not before.
-    pub fn note(&mut self, now: Micros) -> bool {
+    /// Counts a request that has had no answer for long, and returns how many there were lately.
+    pub fn note(&mut self, now: Micros) -> u32 {
         if now.since(self.began_at) > STALL_WINDOW {
             self.began_at = now;
             self.count = 0;
         }
         self.count = self.count.saturating_add(1);
-        if self.count < STALLED_SIGNS {
+        self.count
+    }
+
+    /// Returns how many requests stalled lately.
+    pub fn count(&self, now: Micros) -> u32 {
+        if now.since(self.began_at) > STALL_WINDOW {
+            return 0;
+        }
+        self.count
+    }
+
+    /// Avoids the target when enough requests stalled lately. Returns whether it was not avoided
+    /// before.
+    pub fn judge(&mut self, now: Micros) -> bool {
+        if self.count(now) < STALLED_SIGNS {
             return false;
         }
         let was_avoided = self.is_avoided(now);
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 
 use crate::flow::{Flows, Stage};
+use crate::judging::Request;
 use crate::model::{TargetId, Update};
 use crate::packet::{FlowId, Kind, Segment};
 use crate::settings::Settings;
@@ -22,8 +23,8 @@
     /// Opening packets that wait for a handshake, the earliest due time first.
     pub(crate) openings: VecDeque<(Micros, FlowId)>,
     pub(crate) slowest_handshake_us: u64,
-    /// Requests under way with the time after which they count as stalled, the earliest first.
-    pub(crate) requests: VecDeque<(Micros, FlowId)>,
+    /// Requests under way, the one first that is the first to count as stalled.
+    pub(crate) requests: VecDeque<Request>,
     pub(crate) usual_answer_us: u64,
     pub(crate) heard_at: Micros,
     pub(crate) random: SmallRng,
--- a/crates/steer/tests/silence.rs
+++ b/crates/steer/tests/silence.rs
@@ -178,6 +178,38 @@
         assert_eq!(forwarded(world.data(flows[0], target, 200, 0)).id, target);
     }
 
+    a_stalled_request_counts_once => {
+        let mut world = World::new();
+        let (target, flows) = flows_on_one_target(&mut world, 1);
+        // Requests that were answered leave nothing behind that counts for a later one.
+        for step in 1..=4 {
+            world.data(flows[0], target, 100 * step, 100 * (step - 1));
+            world.pass(Millis(1));
+        }
+        world.pass(Millis(2_000));
+        hear_another(&mut world, target);
+        let stalled = world.steer.take_notes().into_iter();
+        assert_eq!(stalled.filter(|note| matches!(note, Note::Stalled { .. })).count(), 1);
+    }
+
+    flows_that_routers_send_elsewhere_leave_all_targets_in_use => {
+        let mut world = World::new();
+        let flows: Vec<_> = (0..60)
+            .map(|_| {
+                let flow = world.flow(LOOKUP);
+                (flow, world.opened(flow))
+            })
+            .collect();
+        for (flow, target) in &flows {
+            world.data(*flow, *target, 100, 0);
+        }
+        // Their answers are acknowledged through another instance.
+        world.pass(Millis(1_500));
+        let flow = world.flow(LOOKUP);
+        world.opened(flow);
+        assert!(world.steer.view().members().all(|member| !member.stalls.is_avoided(world.now)));
+    }
+
     slow_answers_of_all_targets_change_nothing => {
         let mut world = World::new();
         let (target, flows) = flows_on_one_target(&mut world, 2);
