Let followers form a tree, and take long first views from peers

Cause: at 1,000 machines and 10,000 targets every instance read its first view from the store, 20 pages each, and the store's link was full for half a minute; then one instance a failure domain told 200 others. Ruled out: the limit on calls alone (answers came, late); slow answers of one instance (the line "config acked" grew as well, to 893 ms). Change: after a first page that is not the last one an instance takes the view from a peer that has it, and reads on page by page while none has. An instance takes 32 followers and sends others away; they share the widest links by their own hash. A peer of the same failure domain names 32 peers, others name four. Tests: long_first_view_comes_from_a_peer failed before (3 calls); long_first_view_comes_from_the_store_when_no_peer_has_one, change_is_in_force_in_time_below_the_followers_of_the_reader, and three of peers.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::peer::Followed;
+use crate::peer::{self, Followed, NotFollowed};
 use crate::relay::{self, HEARTBEAT, Relayed, locked};
 
 /// Longest wait of one watch while nobody follows. A connection that went silent is noticed when it
@@ -30,7 +30,8 @@
 /// slower than usual still does.
 const ANSWER_SHARE: u64 = 4;
 
-/// Longest time for a page of a reading, which may hold a megabyte behind a narrow link.
+/// Longest time for a page of a reading, or for the first view from a peer, which may hold a megabyte
+/// behind a narrow link.
 const LONGEST_PAGE: Duration = Duration::from_secs(5);
 
 /// Share of the shortest bound on changes for which they are gathered before the next watch, since
@@ -106,6 +107,9 @@
     is_behind: bool,
     /// Pages read so far, kept over a failed call.
     partial: Partial,
+    /// Whether the peer to follow had no first view, so that the next page is read before it is asked
+    /// again.
+    reads_on: bool,
     /// Whether a followed peer was lost, so that the view may be old.
     is_doubtful: bool,
     lost_at: Option<Instant>,
@@ -131,6 +135,7 @@
             revision: None,
             is_behind: true,
             partial: Partial::default(),
+            reads_on: false,
             is_doubtful: false,
             lost_at: None,
             pause: FIRST_PAUSE,
@@ -165,35 +170,37 @@
         }
     }
 
-    /// Returns the peer to follow. The first view comes from the store, which answers sooner than
-    /// peers that start at the same time; and after the loss of a peer the store is asked once,
+    /// Returns the peer to follow. A first view of one page comes from the store, which answers sooner
+    /// than peers that start at the same time. A longer one comes from a peer, since all instances
+    /// together would fill the store's link for long. After the loss of a peer the store is asked once,
     /// so that delays of several peers do not add up.
     fn leader(&self) -> Option<SocketAddr> {
-        if self.revision.is_none() || self.is_doubtful {
+        let has_more = self.partial.after.is_some() && !self.reads_on;
+        if self.is_doubtful || self.revision.is_none() && !has_more {
             return None;
         }
         locked(&self.sources.peers).leader(self.sources.clock.now())
     }
 
-    /// Reads every page. Pages are read at different revisions, so the watch that follows starts
-    /// from the first one's. After a failed call the reading goes on where it was: when many
-    /// instances start together, the limit on calls would otherwise let none of them finish.
+    /// Reads the next page, and takes the reading when it is the last one. Pages are read at different
+    /// revisions, so the watch that follows starts from the first one's. After a failed call the
+    /// reading goes on where it was: when many instances start together, the limit on calls would
+    /// otherwise let none of them finish.
     async fn read(&mut self) -> platform::Result<()> {
-        loop {
-            let began = Instant::now();
-            let after = self.partial.after.as_deref();
-            let page = self.sources.store.page(after, self.page_limit).await?;
-            self.metrics
-                .store_call
-                .observe(began.elapsed().as_secs_f64());
-            self.count("page");
-            self.tell_refused(&page.refused);
-            self.partial.revision.get_or_insert(page.revision);
-            self.partial.updates.extend(page.updates);
-            self.partial.after = page.next;
-            if self.partial.after.is_none() {
-                break;
-            }
+        let began = Instant::now();
+        let after = self.partial.after.as_deref();
+        let page = self.sources.store.page(after, self.page_limit).await?;
+        self.metrics
+            .store_call
+            .observe(began.elapsed().as_secs_f64());
+        self.count("page");
+        self.tell_refused(&page.refused);
+        self.reads_on = false;
+        self.partial.revision.get_or_insert(page.revision);
+        self.partial.updates.extend(page.updates);
+        self.partial.after = page.next;
+        if self.partial.after.is_some() {
+            return Ok(());
         }
         let partial = std::mem::take(&mut self.partial);
         let revision = partial.revision.unwrap_or_default();
@@ -245,11 +252,25 @@
     async fn follow(&mut self, leader: SocketAddr) {
         let followed = self.follow_while_current(leader, false).await;
         self.sources.relay.end_upstream();
-        if let Err(reason) = followed {
-            info!(self.log, "peer lost"; "step" => "follow", "peer" => %leader,
-                "reason" => reason);
-            locked(&self.sources.peers).shun(self.sources.clock.now(), leader);
-            self.is_doubtful = true;
+        let Err(reason) = followed else {
+            return;
+        };
+        info!(self.log, "peer lost"; "step" => "follow", "peer" => %leader, "reason" => %reason);
+        let now = self.sources.clock.now();
+        match reason {
+            NotFollowed::Full => {
+                locked(&self.sources.peers).note_full(now, leader);
+                let Sources { peers, clock, .. } = &self.sources;
+                peer::meet(leader, peers.clone(), *clock, self.log.clone()).await;
+            }
+            NotFollowed::NoView if self.revision.is_none() => {
+                self.reads_on = true;
+                tokio::time::sleep(FIRST_PAUSE).await;
+            }
+            NotFollowed::NoView | NotFollowed::Failed(_) => {
+                locked(&self.sources.peers).shun(now, leader);
+                self.is_doubtful = self.revision.is_some();
+            }
         }
     }
 
@@ -257,15 +278,17 @@
         &mut self,
         peer: SocketAddr,
         only_once: bool,
-    ) -> Result<(), String> {
+    ) -> Result<(), NotFollowed> {
         let revision = self.revision.filter(|_| !self.is_behind).unwrap_or(0);
         let requests = self.sources.relay.upstream(revision);
         let mut followed = Followed::start(peer, requests).await?;
         info!(self.log, "peer followed"; "step" => "follow", "peer" => %peer,
             "revision" => revision);
         loop {
-            let part = followed.next(HEARTBEAT * MISSED_HEARTBEATS).await?;
-            let updates = relay::decode(&part).map_err(|error| error.to_string())?;
+            let silence = HEARTBEAT * MISSED_HEARTBEATS;
+            let limit = self.revision.map_or(LONGEST_PAGE, |_| silence);
+            let part = followed.next(limit).await?;
+            let updates = relay::decode(&part).map_err(NotFollowed::failed)?;
             self.sources.relay.take_from_upstream(&part.evidence);
             // A peer that is behind catches up or says that its source does not answer.
             let is_behind_us = !self.is_behind && Some(part.revision) < self.revision;
@@ -280,7 +303,7 @@
                 return Ok(());
             }
             if !part.is_current {
-                return Err("the peer's own source does not answer".to_owned());
+                return Err(NotFollowed::failed("its own source does not answer"));
             }
             self.regained();
             if self.leader() != Some(peer) {
@@ -357,7 +380,7 @@
         self.sources.relay.end_upstream();
         if let Err(reason) = followed {
             info!(self.log, "no view from peer"; "step" => "follow", "peer" => %peer,
-                "reason" => reason);
+                "reason" => %reason);
             locked(&self.sources.peers).shun(self.sources.clock.now(), peer);
         }
     }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -4,13 +4,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use displaydoc::Display;
 use ids::Millis;
 use slog::{Logger, debug};
 use steer::{Peer, Peers};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::Streaming;
 use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Status, Streaming};
 use wire::steering::relay_client::RelayClient;
 use wire::steering::{FollowRequest, MeetRequest, Peer as WirePeer, ViewPart};
 
@@ -81,24 +82,7 @@
         callees.dedup();
         let calls: Vec<_> = callees
             .into_iter()
-            .map(|address| {
-                let (peers, own, log) = (peers.clone(), own.clone(), log.clone());
-                tokio::spawn(async move {
-                    let call = tokio::time::timeout(CALL_TIMEOUT, meet(address, &own));
-                    match call.await {
-                        Ok(Ok(named)) => {
-                            let mut peers = locked(&peers);
-                            for (peer, age) in named {
-                                peers.learn(peer, clock.now() - age);
-                            }
-                        }
-                        Ok(Err(error)) => debug!(log, "peer not met"; "step" => "meet",
-                            "peer" => %address, "reason" => error),
-                        Err(_) => debug!(log, "peer not met"; "step" => "meet",
-                            "peer" => %address, "reason" => "no answer in time"),
-                    }
-                })
-            })
+            .map(|address| tokio::spawn(meet(address, peers.clone(), clock, log.clone())))
             .collect();
         for call in calls {
             // A call that panicked has told nothing; the others count.
@@ -114,7 +98,24 @@
     }
 }
 
-async fn meet(address: SocketAddr, own: &Peer) -> Result<Vec<(Peer, Millis)>, String> {
+/// Meets one peer and learns of those that it names.
+pub async fn meet(address: SocketAddr, peers: Arc<Mutex<Peers>>, clock: Clock, log: Logger) {
+    let own = locked(&peers).own().clone();
+    let reason = match tokio::time::timeout(CALL_TIMEOUT, ask_for_peers(address, &own)).await {
+        Ok(Ok(named)) => {
+            let mut peers = locked(&peers);
+            for (peer, age) in named {
+                peers.learn(peer, clock.now() - age);
+            }
+            return;
+        }
+        Ok(Err(reason)) => reason,
+        Err(_) => "no answer in time".to_owned(),
+    };
+    debug!(log, "peer not met"; "step" => "meet", "peer" => %address, "reason" => reason);
+}
+
+async fn ask_for_peers(address: SocketAddr, own: &Peer) -> Result<Vec<(Peer, Millis)>, String> {
     let mut client = connect(address).await.map_err(|error| error.to_string())?;
     let request = MeetRequest {
         caller: Some(encode(own, Millis(0))),
@@ -126,16 +127,40 @@
     Ok(reply.into_inner().peers.iter().filter_map(decode).collect())
 }
 
+/// Why a peer is not followed, or no longer.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum NotFollowed {
+    /// it has enough followers
+    Full,
+    /// it has no view yet
+    NoView,
+    /// {0}
+    Failed(String),
+}
+
+impl From<Status> for NotFollowed {
+    fn from(status: Status) -> Self {
+        match status.code() {
+            Code::ResourceExhausted => Self::Full,
+            Code::FailedPrecondition => Self::NoView,
+            _ => Self::Failed(status.to_string()),
+        }
+    }
+}
+
+impl NotFollowed {
+    /// Creates a failure from its reason.
+    pub fn failed(reason: impl ToString) -> Self {
+        Self::Failed(reason.to_string())
+    }
+}
+
 async fn follow(
     address: SocketAddr,
     requests: ReceiverStream<FollowRequest>,
-) -> Result<Streaming<ViewPart>, String> {
-    let mut client = connect(address).await.map_err(|error| error.to_string())?;
-    let response = client
-        .follow(requests)
-        .await
-        .map_err(|status| status.to_string())?;
-    Ok(response.into_inner())
+) -> Result<Streaming<ViewPart>, NotFollowed> {
+    let mut client = connect(address).await.map_err(NotFollowed::failed)?;
+    Ok(client.follow(requests).await?.into_inner())
 }
 
 /// A view that a peer streams.
@@ -149,21 +174,21 @@
     pub async fn start(
         address: SocketAddr,
         requests: mpsc::Receiver<FollowRequest>,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, NotFollowed> {
         let call = follow(address, ReceiverStream::new(requests));
         let parts = tokio::time::timeout(2 * CALL_TIMEOUT, call)
             .await
-            .map_err(|_| "no answer in time".to_owned())??;
+            .map_err(|_| NotFollowed::failed("no answer in time"))??;
         Ok(Self { parts })
     }
 
     /// Waits for the next part.
-    pub async fn next(&mut self, limit: Duration) -> Result<ViewPart, String> {
+    pub async fn next(&mut self, limit: Duration) -> Result<ViewPart, NotFollowed> {
         match tokio::time::timeout(limit, self.parts.message()).await {
             Ok(Ok(Some(part))) => Ok(part),
-            Ok(Ok(None)) => Err("the peer ended the stream".to_owned()),
-            Ok(Err(status)) => Err(status.to_string()),
-            Err(_) => Err("the peer fell silent".to_owned()),
+            Ok(Ok(None)) => Err(NotFollowed::failed("the peer ended the stream")),
+            Ok(Err(status)) => Err(status.into()),
+            Err(_) => Err(NotFollowed::failed("the peer fell silent")),
         }
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -24,6 +24,10 @@
 /// Parts that wait for a slow follower; beyond them it starts again from a complete one.
 const QUEUE_PARTS: usize = 64;
 
+/// Followers of one instance. The complete view of 10,000 targets to each of them is some 20 MB, a
+/// second of a link of 200 Mbit/s; further ones follow the followers.
+const MAX_FOLLOWERS: usize = 32;
+
 /// Everything published, as it was last told.
 #[derive(Debug, Default)]
 struct Published {
@@ -224,7 +228,7 @@
     fn first_part(&self, revision: u64) -> Result<ViewPart, Status> {
         let published = locked(&self.published);
         if published.document.is_none() {
-            return Err(Status::unavailable("no view yet"));
+            return Err(Status::failed_precondition("no view yet"));
         }
         if revision == published.revision {
             return Ok(published.heartbeat());
@@ -319,6 +323,9 @@
         let follower = request
             .remote_addr()
             .map(|address| address.ip().to_string());
+        if self.parts.receiver_count() >= MAX_FOLLOWERS {
+            return Err(Status::resource_exhausted("enough followers"));
+        }
         let news = self.parts.subscribe();
         let mut requests = request.into_inner();
         let revision = requests
--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -159,6 +159,48 @@
         assert!(net.store.calls() - before <= 6, "{} calls", net.store.calls() - before);
     }
 
+    long_first_view_comes_from_a_peer => {
+        // The stand-in of the store answers in pages of three items.
+        let net = Net::new(8).await;
+        let _leader = net.ready(0).await;
+        let address = SocketAddr::from((net.caller_host(1), 9_000));
+        let proxy = Proxy::start(address, net.store.address).await;
+        // It meets its peers before the first page is there.
+        proxy.set(Harm::Delayed);
+        let before = net.store.calls();
+        let second = net.start_with(1, proxy.address, LINK_MBPS / 2);
+        eventually("the instance is ready", || second.is_ready()).await;
+        let pages = second.metric("store_calls_total").await;
+        assert!(pages <= 1.0, "{pages} calls, {} in all", net.store.calls() - before);
+    }
+
+    long_first_view_comes_from_the_store_when_no_peer_has_one => {
+        let net = Net::new(8).await;
+        let leader = net.start_with(0, SocketAddr::from((net.caller_host(2), 9)), 2 * LINK_MBPS);
+        eventually("it answers", || async { leader.readiness().await.is_some() }).await;
+        let second = net.ready(1).await;
+        assert!(second.metric("store_calls_total").await >= 3.0);
+    }
+
+    change_is_in_force_in_time_below_the_followers_of_the_reader => {
+        let mut net = Net::new(1).await;
+        // More than one instance may have as followers.
+        let instances: Vec<_> = (0..36).map(|index| net.start(index)).collect();
+        for instance in &instances {
+            eventually("the instance is ready", || instance.is_ready()).await;
+        }
+        tokio::time::sleep(Duration::from_secs(7)).await;
+        let before = net.store.calls();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        assert!(net.store.calls() - before <= 6, "{} calls", net.store.calls() - before);
+        net.store.put("op/config", &document(2, &[ENTRY, NEW_ENTRY]));
+        let began = Instant::now();
+        for instance in &instances {
+            time_to_serve(&mut net, instance.packets(), NEW_ENTRY).await;
+        }
+        assert!(began.elapsed() < CHANGE_LIMIT, "{:?}", began.elapsed());
+    }
+
     change_is_in_force_in_time_after_the_reader_is_killed => {
         let mut net = Net::new(1).await;
         let mut instances = [net.ready(0).await, net.ready(1).await, net.ready(2).await];
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -1,14 +1,15 @@
 //! Peers, and which of them reads the store for its failure domain.
 //!
 //! The store's calls are limited and priced, so in each failure domain one instance reads it and
-//! the others follow. There is no election: each instance follows the best peer that it knows,
-//! and an instance that knows no better one reads. Several readers do no harm beyond their calls.
+//! the others follow. There is no election: each instance follows the best peer that it knows and
+//! that has room, and an instance that knows no better one reads. In a large failure domain the
+//! followers form a tree. Several readers do no harm beyond their calls.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use hashbrown::HashMap;
-use ids::{Micros, Millis, hash_of};
+use ids::{Micros, Millis, hash_of, hash_pair};
 use smol_str::SmolStr;
 
 /// Separates the hash that ranks peers from other uses of the hash.
@@ -20,8 +21,16 @@
 /// Time for which a peer that failed is not followed. Meanwhile this instance reads by itself.
 const SHUN: Millis = Millis(3_000);
 
-/// Peers named to a caller; with the first ones gone it still finds one.
-const MAX_NAMED: usize = 4;
+/// Time for which a peer that has enough followers is not asked again; its followers seldom leave.
+const FULL: Millis = Millis(300_000);
+
+/// Peers named to a caller of the same failure domain. With as many followers each, they serve a
+/// thousand instances in two steps.
+const MAX_NAMED: usize = 32;
+
+/// Peers named to a caller of another one, since bytes between failure domains cost. With the first
+/// ones gone it still finds one, which names more.
+const MAX_NAMED_AFAR: usize = 4;
 
 /// Peers remembered. An instance remembers what it is asked by, and seeds are asked by many.
 const MAX_PEERS: usize = 4_096;
@@ -38,9 +47,12 @@
 }
 
 impl Peer {
+    fn hash(&self) -> u64 {
+        hash_of(RANK_SEED, self.address.to_string().as_bytes())
+    }
+
     fn rank(&self) -> (Reverse<u64>, u64) {
-        let hash = hash_of(RANK_SEED, self.address.to_string().as_bytes());
-        (Reverse(self.link_kbps), hash)
+        (Reverse(self.link_kbps), self.hash())
     }
 }
 
@@ -49,6 +61,7 @@
     peer: Peer,
     heard_at: Micros,
     shunned_until: Micros,
+    full_until: Micros,
 }
 
 /// All peers that an instance knows.
@@ -89,6 +102,7 @@
                     peer,
                     heard_at,
                     shunned_until: Micros(0),
+                    full_until: Micros(0),
                 },
             );
         }
@@ -101,6 +115,13 @@
         }
     }
 
+    /// Notes that a peer has enough followers.
+    pub fn note_full(&mut self, now: Micros, address: SocketAddr) {
+        if let Some(known) = self.known.get_mut(&address) {
+            known.full_until = now + FULL;
+        }
+    }
+
     /// Forgets peers that were not heard for long.
     pub fn expire(&mut self, now: Micros) {
         self.known
@@ -108,15 +129,38 @@
     }
 
     /// Returns the peer to follow, or nothing when this instance reads the store itself.
+    ///
+    /// That is the best peer. When it has enough followers, the others share those that are left: the
+    /// widest links first, and each instance one by its own hash, which stays the same when others
+    /// come and go. Only better peers are followed, so that nobody follows itself over others.
     pub fn leader(&self, now: Micros) -> Option<SocketAddr> {
         let own_rank = self.own.rank();
-        self.known
+        let better: Vec<&Known> = self
+            .known
             .values()
             .filter(|known| known.peer.domain == self.own.domain && now >= known.shunned_until)
-            .map(|known| (known.peer.rank(), known.peer.address))
-            .filter(|(rank, _)| *rank < own_rank)
-            .min()
-            .map(|(_, address)| address)
+            .filter(|known| known.peer.rank() < own_rank)
+            .collect();
+        let best = better.iter().min_by_key(|known| known.peer.rank())?;
+        if now >= best.full_until {
+            return Some(best.peer.address);
+        }
+        better
+            .iter()
+            .filter(|known| now >= known.full_until)
+            .map(|known| {
+                (
+                    Reverse(known.peer.link_kbps),
+                    self.share(&known.peer),
+                    known,
+                )
+            })
+            .min_by_key(|(link, share, _)| (*link, *share))
+            .map(|(.., known)| known.peer.address)
+    }
+
+    fn share(&self, peer: &Peer) -> u64 {
+        hash_pair(self.own.hash(), peer.hash())
     }
 
     /// Returns any peer that may have a view, the own failure domain's first. To be asked by an
@@ -137,9 +181,14 @@
             .filter(|known| known.peer.domain == domain)
             .collect();
         found.sort_by_key(|known| known.peer.rank());
+        let count = if domain == self.own.domain {
+            MAX_NAMED
+        } else {
+            MAX_NAMED_AFAR
+        };
         found
             .into_iter()
-            .take(MAX_NAMED)
+            .take(count)
             .map(|known| (known.peer.clone(), now.since(known.heard_at)))
             .collect()
     }
--- a/crates/steer/tests/peers.rs
+++ b/crates/steer/tests/peers.rs
@@ -54,6 +54,44 @@
         assert_eq!(table(1, &[peer(2, "b", 200_000)]).leader(NOW), None);
     }
 
+    followers_that_have_no_room_at_the_best_peer_share_the_next_widest => {
+        let best = peer(200, "a", 400_000);
+        let wide: Vec<Peer> = (201..=204).map(|last| peer(last, "a", 200_000)).collect();
+        let narrow: Vec<Peer> = (1..=40).map(|last| peer(last, "a", 10_000)).collect();
+        let mut chosen = std::collections::BTreeMap::new();
+        for own in &narrow {
+            let mut peers = Peers::new(own.clone());
+            for other in wide.iter().chain(&narrow).chain([&best]) {
+                peers.learn(other.clone(), NOW);
+            }
+            assert_eq!(peers.leader(NOW), Some(best.address));
+            peers.note_full(NOW, best.address);
+            let leader = peers.leader(NOW).unwrap();
+            assert!(wide.iter().any(|peer| peer.address == leader));
+            *chosen.entry(leader).or_insert(0) += 1;
+            // The choice does not depend on the others that are known.
+            for other in wide.iter().filter(|other| other.address != leader) {
+                peers.note_full(NOW, other.address);
+                assert_eq!(peers.leader(NOW), Some(leader));
+            }
+        }
+        assert!(chosen.len() == 4 && chosen.values().all(|count| *count <= 20), "{chosen:?}");
+    }
+
+    callers_of_other_domains_are_told_of_few_peers => {
+        let own: Vec<Peer> = (2..=60).map(|last| peer(last, "a", 10_000)).collect();
+        let far: Vec<Peer> = (61..=120).map(|last| peer(last, "b", 10_000)).collect();
+        let peers = table(1, &[own, far].concat());
+        assert_eq!((peers.best(NOW, "a").len(), peers.best(NOW, "b").len()), (32, 4));
+    }
+
+    instance_without_room_at_any_peer_reads => {
+        let wide = peer(9, "a", 200_000);
+        let mut peers = table(1, std::slice::from_ref(&wide));
+        peers.note_full(NOW, wide.address);
+        assert_eq!(peers.leader(NOW), None);
+    }
+
     shunned_peer_is_passed_over_for_a_while => {
         let wide = peer(9, "a", 200_000);
         let mut peers = table(1, std::slice::from_ref(&wide));
