Take the view of a peer while the store does not answer

Ruled out: following a lower peer for good, which could close a circle. Test: change_is_in_force_in_time_at_a_reader_that_the_store_does_not_answer, which failed before.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -299,12 +299,12 @@
             } else if !part.is_complete {
                 self.update(part.revision, updates);
             }
-            if only_once {
-                return Ok(());
-            }
             if !part.is_current {
                 return Err(NotFollowed::failed("its own source does not answer"));
             }
+            if only_once {
+                return Ok(());
+            }
             self.regained();
             if self.leader() != Some(peer) {
                 return Ok(());
@@ -363,25 +363,27 @@
     }
 
     async fn wait_after_failure(&mut self) {
-        if self.revision.is_none() {
-            self.borrow_view().await;
-        }
+        self.borrow_view().await;
         let jitter = self.random.random_range(0.75..1.25);
         tokio::time::sleep(self.pause.mul_f64(jitter)).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
-    /// Takes a first view from a peer, since the store does not answer.
+    /// Takes the view of any peer, since the store does not answer this instance. It may answer others.
     async fn borrow_view(&mut self) {
         let Some(peer) = locked(&self.sources.peers).any(self.sources.clock.now()) else {
             return;
         };
+        let before = self.revision;
         let followed = self.follow_while_current(peer, true).await;
         self.sources.relay.end_upstream();
         if let Err(reason) = followed {
             info!(self.log, "no view from peer"; "step" => "follow", "peer" => %peer,
                 "reason" => %reason);
             locked(&self.sources.peers).shun(self.sources.clock.now(), peer);
+        } else if self.revision > before {
+            info!(self.log, "view taken from peer"; "step" => "follow", "peer" => %peer,
+                "revision" => self.revision);
         }
     }
 }
--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -270,6 +270,21 @@
         assert!(took < CHANGE_LIMIT, "{took:?}");
     }
 
+    change_is_in_force_in_time_at_a_reader_that_the_store_does_not_answer => {
+        let mut net = Net::new(1).await;
+        let address = SocketAddr::from((net.instance_host(0), PROXY_PORT));
+        let proxy = Proxy::start(address, net.store.address).await;
+        let reader = net.start_with(0, proxy.address, 2 * LINK_MBPS);
+        eventually("the reader is ready", || reader.is_ready()).await;
+        let _other = net.ready(1).await;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        proxy.set(Harm::Reset);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        net.store.put("op/config", &document(2, &[ENTRY, NEW_ENTRY]));
+        let took = time_to_serve(&mut net, reader.packets(), NEW_ENTRY).await;
+        assert!(took < CHANGE_LIMIT, "{took:?}");
+    }
+
     instance_starts_from_a_peer_while_the_store_is_away => {
         let mut net = Net::new(1).await;
         let _first = net.ready(0).await;
