Catch up a long reading before it decides anything

Cause: a reading of several pages is as old as its first page, which holds the configuration. Packets that waited in the socket were decided by it as soon as the last page was there, before the watch that follows. Ruled out: making the instance ready later; the packets wait in its socket. Change: after more than one page the changes since the first are asked for and taken with the reading. Test: long_reading_is_as_new_as_its_end, which failed before.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -87,8 +87,9 @@
 /// Pages of a reading that is not complete yet.
 #[derive(Debug, Default)]
 struct Partial {
-    /// Revision of the first page.
+    /// Revision up to which the pages are complete; that of the first one.
     revision: Option<u64>,
+    pages: u32,
     updates: Vec<Update>,
     /// Key after which the next page begins.
     after: Option<String>,
@@ -197,12 +198,16 @@
         self.tell_refused(&page.refused);
         self.reads_on = false;
         self.partial.revision.get_or_insert(page.revision);
+        self.partial.pages += 1;
         self.partial.updates.extend(page.updates);
         self.partial.after = page.next;
         if self.partial.after.is_some() {
             return Ok(());
         }
-        let partial = std::mem::take(&mut self.partial);
+        let mut partial = std::mem::take(&mut self.partial);
+        if partial.pages > 1 {
+            self.catch_up(&mut partial).await;
+        }
         let revision = partial.revision.unwrap_or_default();
         info!(self.log, "store read"; "step" => "store", "revision" => revision,
             "items" => partial.updates.len());
@@ -212,6 +217,24 @@
         Ok(())
     }
 
+    /// Adds what changed since the first page, so that a reading that took long decides nothing by an
+    /// old configuration.
+    async fn catch_up(&self, partial: &mut Partial) {
+        let after = partial.revision.unwrap_or_default();
+        let limit = answer_limit(&self.sources);
+        match self.sources.store.watch(after, Millis(0), limit).await {
+            Ok(changes) => {
+                self.count("watch");
+                self.tell_refused(&changes.refused);
+                partial.updates.extend(changes.updates);
+                partial.revision = Some(changes.revision);
+            }
+            // The watch that follows meets the same failure and deals with it.
+            Err(error) => info!(self.log, "reading not caught up"; "step" => "store",
+                "revision" => after, "reason" => %error),
+        }
+    }
+
     async fn watch(&mut self, after: u64) -> platform::Result<()> {
         let limit = answer_limit(&self.sources);
         let watched = self.sources.store.watch(after, self.watch_wait(), limit);
--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -174,6 +174,26 @@
         assert!(pages <= 1.0, "{pages} calls, {} in all", net.store.calls() - before);
     }
 
+    long_reading_is_as_new_as_its_end => {
+        let mut net = Net::new(8).await;
+        let address = SocketAddr::from((net.caller_host(3), 9_000));
+        let proxy = Proxy::start(address, net.store.address).await;
+        proxy.set(Harm::Delayed);
+        let instance = net.start_with(0, proxy.address, LINK_MBPS);
+        let began = net.store.calls();
+        eventually("the first page is read", || async { net.store.calls() > began }).await;
+        net.store.put("op/config", &document(2, &[ENTRY, NEW_ENTRY]));
+        assert!(!instance.is_ready().await);
+        // Its packets wait in the socket until the view is there.
+        let opened = loop {
+            let opened = net.caller.open_to(instance.packets(), NEW_ENTRY).await;
+            if !matches!(opened, Err(Ended::Silent)) {
+                break opened;
+            }
+        };
+        assert!(opened.is_ok());
+    }
+
     long_first_view_comes_from_the_store_when_no_peer_has_one => {
         let net = Net::new(8).await;
         let leader = net.start_with(0, SocketAddr::from((net.caller_host(2), 9)), 2 * LINK_MBPS);
