Count evidence of peers once, and do not follow a peer to borrow its view

Borrowing a view made the borrower a follower of its own follower for a moment, and evidence that went round between the two counted each time; three signs reset flows. Change: evidence carries a sequence number of its origin and is taken and passed on once. A borrowed view is one answer, without evidence and not counted as a follower; room for followers is free when their stream ends.

--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -1,12 +1,38 @@
 //! Evidence of targets as peers exchange it.
 
+use hashbrown::HashMap;
 use ids::Millis;
 use steer::{Asked, Evidence, Sign, TargetId};
 use wire::steering::Evidence as WireEvidence;
 use wire::steering::evidence::Sign as WireSign;
 
+/// Origins remembered. Each start of a process is a new one; a failure domain of 870 instances may
+/// restart nine times.
+const MAX_ORIGINS: usize = 8_192;
+
+/// Evidence that was taken already. While instances change the peer that they follow, the same may
+/// come by two ways, and a single lost packet must not count as several.
+#[derive(Debug, Default)]
+pub struct Taken {
+    /// Last sequence number of each origin.
+    last: HashMap<u64, u64>,
+}
+
+impl Taken {
+    /// Tells whether evidence is new, and remembers it.
+    pub fn is_new(&mut self, seen: &WireEvidence) -> bool {
+        if self.last.len() >= MAX_ORIGINS {
+            self.last.clear();
+        }
+        let last = self.last.entry(seen.origin).or_insert(0);
+        let is_new = seen.sequence > *last;
+        *last = seen.sequence.max(*last);
+        is_new
+    }
+}
+
 /// Encodes what the instance with the number `origin` saw.
-pub fn encode(seen: &Evidence, origin: u64) -> WireEvidence {
+pub fn encode(seen: &Evidence, origin: u64, sequence: u64) -> WireEvidence {
     let sign = match seen.sign {
         Sign::Heard => WireSign::Heard,
         Sign::Missed(Asked::Opening) => WireSign::OpeningMissed,
@@ -18,6 +44,7 @@
         sign: sign.into(),
         age_ms: seen.age.0,
         origin,
+        sequence,
     }
 }
 
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -273,7 +273,7 @@
 
     /// Follows a peer until it fails or a better one is known.
     async fn follow(&mut self, leader: SocketAddr) {
-        let followed = self.follow_while_current(leader, false).await;
+        let followed = self.follow_while_current(leader).await;
         self.sources.relay.end_upstream();
         let Err(reason) = followed else {
             return;
@@ -297,37 +297,13 @@
         }
     }
 
-    async fn follow_while_current(
-        &mut self,
-        peer: SocketAddr,
-        only_once: bool,
-    ) -> Result<(), NotFollowed> {
-        let revision = self.revision.filter(|_| !self.is_behind).unwrap_or(0);
-        let requests = self.sources.relay.upstream(revision);
+    async fn follow_while_current(&mut self, peer: SocketAddr) -> Result<(), NotFollowed> {
+        let requests = self.sources.relay.upstream(self.known_revision());
         let mut followed = Followed::start(peer, requests).await?;
         info!(self.log, "peer followed"; "step" => "follow", "peer" => %peer,
-            "revision" => revision);
+            "revision" => self.known_revision());
         loop {
-            let silence = HEARTBEAT * MISSED_HEARTBEATS;
-            let limit = self.revision.map_or(LONGEST_PAGE, |_| silence);
-            let part = followed.next(limit).await?;
-            let updates = relay::decode(&part).map_err(NotFollowed::failed)?;
-            self.sources.relay.take_from_upstream(&part.evidence);
-            // A peer that is behind catches up or says that its source does not answer.
-            let is_behind_us = !self.is_behind && Some(part.revision) < self.revision;
-            if part.is_complete && !is_behind_us {
-                self.is_behind = false;
-                self.partial = Partial::default();
-                self.replace(part.revision, updates);
-            } else if !part.is_complete {
-                self.update(part.revision, updates);
-            }
-            if !part.is_current {
-                return Err(NotFollowed::failed("its own source does not answer"));
-            }
-            if only_once {
-                return Ok(());
-            }
+            self.take_part(&mut followed).await?;
             self.regained();
             if self.leader() != Some(peer) {
                 return Ok(());
@@ -335,6 +311,34 @@
         }
     }
 
+    /// Returns the revision that peers need not tell again; 0 stands for none.
+    fn known_revision(&self) -> u64 {
+        self.revision.filter(|_| !self.is_behind).unwrap_or(0)
+    }
+
+    /// Takes the next part of a peer's view.
+    async fn take_part(&mut self, followed: &mut Followed) -> Result<(), NotFollowed> {
+        let silence = HEARTBEAT * MISSED_HEARTBEATS;
+        let limit = self.revision.map_or(LONGEST_PAGE, |_| silence);
+        let part = followed.next(limit).await?;
+        let updates = relay::decode(&part).map_err(NotFollowed::failed)?;
+        self.sources.relay.take_from_upstream(&part.evidence);
+        // A peer that is behind catches up or says that its source does not answer.
+        let is_behind_us = !self.is_behind && Some(part.revision) < self.revision;
+        if part.is_complete && !is_behind_us {
+            self.is_behind = false;
+            self.partial = Partial::default();
+            self.replace(part.revision, updates);
+        } else if !part.is_complete {
+            self.update(part.revision, updates);
+        }
+        if part.is_current {
+            Ok(())
+        } else {
+            Err(NotFollowed::failed("its own source does not answer"))
+        }
+    }
+
     fn replace(&mut self, revision: u64, updates: Vec<Update>) {
         self.revision = Some(revision);
         self.sources.relay.replace(revision, &updates);
@@ -398,8 +402,10 @@
             return;
         };
         let before = self.revision;
-        let followed = self.follow_while_current(peer, true).await;
-        self.sources.relay.end_upstream();
+        let followed = match Followed::once(peer, self.known_revision()).await {
+            Ok(mut followed) => self.take_part(&mut followed).await,
+            Err(reason) => Err(reason),
+        };
         if let Err(reason) = followed {
             info!(self.log, "no view from peer"; "step" => "follow", "peer" => %peer,
                 "reason" => %reason);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -9,6 +9,7 @@
 use slog::{Logger, debug};
 use steer::{Peer, Peers};
 use tokio::sync::mpsc;
+use tokio_stream::Stream;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status, Streaming};
@@ -155,10 +156,10 @@
     }
 }
 
-async fn follow(
-    address: SocketAddr,
-    requests: ReceiverStream<FollowRequest>,
-) -> Result<Streaming<ViewPart>, NotFollowed> {
+async fn follow<S>(address: SocketAddr, requests: S) -> Result<Streaming<ViewPart>, NotFollowed>
+where
+    S: Stream<Item = FollowRequest> + Send + 'static,
+{
     let mut client = connect(address).await.map_err(NotFollowed::failed)?;
     Ok(client.follow(requests).await?.into_inner())
 }
@@ -175,8 +176,24 @@
         address: SocketAddr,
         requests: mpsc::Receiver<FollowRequest>,
     ) -> Result<Self, NotFollowed> {
-        let call = follow(address, ReceiverStream::new(requests));
-        let parts = tokio::time::timeout(2 * CALL_TIMEOUT, call)
+        Self::start_with(address, ReceiverStream::new(requests)).await
+    }
+
+    /// Asks a peer for the first part only, which does not make this instance a follower.
+    pub async fn once(address: SocketAddr, revision: u64) -> Result<Self, NotFollowed> {
+        let request = FollowRequest {
+            revision,
+            is_once: true,
+            ..FollowRequest::default()
+        };
+        Self::start_with(address, tokio_stream::once(request)).await
+    }
+
+    async fn start_with<S>(address: SocketAddr, requests: S) -> Result<Self, NotFollowed>
+    where
+        S: Stream<Item = FollowRequest> + Send + 'static,
+    {
+        let parts = tokio::time::timeout(2 * CALL_TIMEOUT, follow(address, requests))
             .await
             .map_err(|_| NotFollowed::failed("no answer in time"))??;
         Ok(Self { parts })
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -1,6 +1,7 @@
 //! What this instance tells its peers: what the store published, as it learns it.
 
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,13 +9,14 @@
 use ids::Millis;
 use slog::{Logger, info, warn};
 use steer::{Change, Evidence, Peers, TargetId, Update};
-use tokio::sync::{Notify, broadcast, mpsc};
-use tokio_stream::Stream;
+use tokio::sync::{Notify, Semaphore, broadcast, mpsc};
+use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::Relay;
 use wire::steering::{Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ViewPart};
 
 use crate::clock::Clock;
+use crate::evidence::Taken;
 use crate::feed::Feed;
 use crate::{evidence, peer};
 
@@ -42,6 +44,8 @@
 pub struct Relayed {
     published: Arc<Mutex<Published>>,
     parts: broadcast::Sender<ViewPart>,
+    /// Room for followers.
+    room: Arc<Semaphore>,
     /// Requests to the peer that is followed, while there is one.
     upstream: Arc<Mutex<Option<mpsc::Sender<FollowRequest>>>>,
     /// Told when a peer begins to follow.
@@ -51,6 +55,9 @@
     peers: Arc<Mutex<Peers>>,
     /// Number by which this instance knows its own evidence again.
     origin: u64,
+    /// Sequence number of its last evidence.
+    sequence: Arc<AtomicU64>,
+    taken: Arc<Mutex<Taken>>,
     clock: Clock,
     log: Logger,
 }
@@ -72,11 +79,14 @@
         Self {
             published: Arc::default(),
             parts: broadcast::Sender::new(QUEUE_PARTS),
+            room: Arc::new(Semaphore::new(MAX_FOLLOWERS)),
             upstream: Arc::default(),
             joined: Arc::default(),
             feeds,
             peers,
             origin,
+            sequence: Arc::default(),
+            taken: Arc::default(),
             clock,
             log,
         }
@@ -86,7 +96,10 @@
     pub fn tell(&self, seen: &[Evidence]) {
         let evidence: Vec<WireEvidence> = seen
             .iter()
-            .map(|seen| evidence::encode(seen, self.origin))
+            .map(|seen| {
+                let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+                evidence::encode(seen, self.origin, sequence)
+            })
             .collect();
         self.tell_followers(&evidence);
         self.tell_upstream(evidence);
@@ -105,40 +118,43 @@
         if let Some(upstream) = locked(&self.upstream).as_ref() {
             // When the peer does not keep up, evidence this old is of no use to it.
             let _ = upstream.try_send(FollowRequest {
-                revision: 0,
                 evidence,
+                ..FollowRequest::default()
             });
         }
     }
 
     /// Takes the evidence of the peer that is followed.
     pub fn take_from_upstream(&self, evidence: &[WireEvidence]) {
-        if evidence.is_empty() {
-            return;
+        let evidence = self.take_new(evidence);
+        if !evidence.is_empty() {
+            self.tell_followers(&evidence);
         }
-        self.take_evidence(evidence);
-        self.tell_followers(evidence);
     }
 
-    fn take_from_follower(&self, evidence: Vec<WireEvidence>) {
-        if evidence.is_empty() {
-            return;
+    fn take_from_follower(&self, evidence: &[WireEvidence]) {
+        let evidence = self.take_new(evidence);
+        if !evidence.is_empty() {
+            self.tell_followers(&evidence);
+            self.tell_upstream(evidence);
         }
-        self.take_evidence(&evidence);
-        self.tell_followers(&evidence);
-        self.tell_upstream(evidence);
     }
 
-    fn take_evidence(&self, evidence: &[WireEvidence]) {
-        let foreign: Vec<Evidence> = evidence
+    /// Takes the evidence of others that has not come before, and returns it.
+    fn take_new(&self, evidence: &[WireEvidence]) -> Vec<WireEvidence> {
+        let mut taken = locked(&self.taken);
+        let new: Vec<WireEvidence> = evidence
             .iter()
-            .filter(|seen| seen.origin != self.origin)
-            .filter_map(evidence::decode)
+            .filter(|seen| seen.origin != self.origin && taken.is_new(seen))
+            .copied()
             .collect();
-        if !foreign.is_empty() {
+        drop(taken);
+        let decoded: Vec<Evidence> = new.iter().filter_map(evidence::decode).collect();
+        if !decoded.is_empty() {
             // The queue has no bound and closes only when the process ends.
-            let _ = self.feeds.send(Feed::Evidence(foreign));
+            let _ = self.feeds.send(Feed::Evidence(decoded));
         }
+        new
     }
 
     /// Begins to send to a peer that is followed, from the revision of the own view.
@@ -149,7 +165,7 @@
         // The queue is new and has room.
         let _ = queue.try_send(FollowRequest {
             revision,
-            evidence: Vec::new(),
+            ..FollowRequest::default()
         });
         *locked(&self.upstream) = Some(queue);
         requests
@@ -323,23 +339,29 @@
         let follower = request
             .remote_addr()
             .map(|address| address.ip().to_string());
-        if self.parts.receiver_count() >= MAX_FOLLOWERS {
-            return Err(Status::resource_exhausted("enough followers"));
-        }
+        // Subscribed before the first part is made, so that nothing falls between the two.
         let news = self.parts.subscribe();
         let mut requests = request.into_inner();
-        let revision = requests
-            .message()
-            .await?
-            .map_or(0, |request| request.revision);
-        let first = self.first_part(revision)?;
+        let wanted = requests.message().await?.unwrap_or_default();
+        let first = self.first_part(wanted.revision)?;
+        if wanted.is_once {
+            return Ok(Response::new(Box::pin(tokio_stream::once(Ok(first)))));
+        }
+        let Ok(room) = self.room.clone().try_acquire_owned() else {
+            return Err(Status::resource_exhausted("enough followers"));
+        };
         info!(self.log, "follower joined"; "step" => "relay", "peer" => follower,
             "revision" => first.revision, "complete" => first.is_complete);
         self.joined.notify_one();
         let (queue, parts) = flume::bounded(QUEUE_PARTS);
         tokio::spawn(feed_follower(self.clone(), first, news, queue));
         tokio::spawn(hear_follower(self.clone(), requests));
-        Ok(Response::new(Box::pin(parts.into_stream())))
+        // The room is free again when the stream is dropped.
+        let parts = parts.into_stream().map(move |part| {
+            let _held = &room;
+            part
+        });
+        Ok(Response::new(Box::pin(parts)))
     }
 }
 
@@ -347,7 +369,7 @@
 async fn hear_follower(relay: Relayed, mut requests: Streaming<FollowRequest>) {
     // The end of the stream and its failure mean the same: the follower has left.
     while let Ok(Some(request)) = requests.message().await {
-        relay.take_from_follower(request.evidence);
+        relay.take_from_follower(&request.evidence);
     }
 }
 
