--- a/crates/edge/tests/whole.rs
+++ b/crates/edge/tests/whole.rs
@@ -212,10 +212,10 @@
         tokio::time::sleep(Duration::from_secs(7)).await;
         let before = net.store.calls();
         tokio::time::sleep(Duration::from_secs(4)).await;
-        // An instance that finds no room at any better one reads as well. The target is a tenth of the
-        // calls of readers alone, of which each makes one a second.
+        // Besides the best instance the second best may read, when it found no room there; the others
+        // find room at that one. Both make one watch a second, and a third would make four more.
         let calls = net.store.calls() - before;
-        assert!(calls <= instances.len() * 4 / 10, "{calls} calls");
+        assert!(calls <= 10, "{calls} calls");
         net.store.put("op/config", &document(2, &[ENTRY, NEW_ENTRY]));
         let began = Instant::now();
         for instance in &instances {
