Place a new flow from a reused port again

Cause: a flow was looked up by the caller's port alone. If the end of an earlier flow from this port went through another instance, or never came, the opening packet of the next flow went to the earlier flow's target, even if that was draining or gone and even if the route had moved or was removed.

Ruled out: the token as the distinction (an opening packet has none); a time limit alone (copies of an opening packet come up to 0.6 s late, ports may come back sooner).

Change: a flow keeps the caller's initial sequence number. An opening packet with another one replaces the flow. Where the instance joined in the middle of a flow and does not know the number, copies are taken for 1.5 s.

Tests, failing before: new_flow_from_a_reused_port_is_placed_again, new_flow_from_a_port_seen_only_in_the_middle_of_a_flow_is_placed_again. Guarding the copies: late_copy_of_an_opening_packet_stays_with_its_flow.

--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -76,8 +76,11 @@
         if let Stage::Opening { tried, .. } = flow.stage {
             let previous_target = flow.target;
             let handshake_time = now.since(flow.created_at);
-            *flow = Flow::established(now, id, segment);
-            flow.request_sent_at = Some(now);
+            *flow = Flow {
+                initial_seq: flow.initial_seq,
+                request_sent_at: Some(now),
+                ..Flow::established(now, id, segment)
+            };
             if tried.as_slice().len() == 1 {
                 self.record_handshake(handshake_time);
             }
--- a/crates/steer/src/flow.rs
+++ b/crates/steer/src/flow.rs
@@ -13,6 +13,10 @@
 /// before they retransmit; a packet that comes sooner was reordered.
 const MIN_RETRANSMIT_DELAY: Millis = Millis(100);
 
+/// Time after its first packet in which a caller may send copies of an opening packet. Callers give
+/// up on a handshake after 1.4 s.
+const OPENING_COPY_WINDOW: Millis = Millis(1_500);
+
 /// Maximum number of targets that get the opening packet of one flow. If three targets do not
 /// respond, the fault is probably on the caller's side.
 pub const MAX_TRIED_TARGETS: usize = 3;
@@ -76,6 +80,8 @@
     pub last_packet_at: Micros,
     /// When the first packet was received.
     pub created_at: Micros,
+    /// Initial sequence number of the caller, if this instance received the opening packet.
+    pub initial_seq: Option<u32>,
     /// Sequence number after the last data byte that the caller has sent.
     pub sent_until: u32,
     /// When new data was last received.
@@ -110,6 +116,25 @@
 }
 
 impl Flow {
+    /// Creates a flow whose opening packet was sent to a target.
+    pub fn opening(now: Micros, target: TargetId, segment: &Segment, packet: &[u8]) -> Self {
+        let mut tried = TriedTargets::default();
+        tried.push(target);
+        let mut saved_packet = [0; OPENING_PACKET_BYTES];
+        let length = packet.len().min(OPENING_PACKET_BYTES);
+        saved_packet[..length].copy_from_slice(&packet[..length]);
+        Self {
+            stage: Stage::Opening {
+                tried,
+                sent_at: now,
+                packet: saved_packet,
+            },
+            initial_seq: Some(segment.seq),
+            request_sent_at: Some(now),
+            ..Self::established(now, target, segment)
+        }
+    }
+
     /// Creates an established flow from one of its packets.
     pub fn established(now: Micros, target: TargetId, segment: &Segment) -> Self {
         Self {
@@ -117,6 +142,7 @@
             target,
             last_packet_at: now,
             created_at: now,
+            initial_seq: None,
             sent_until: segment.seq,
             last_data_at: now,
             received_until: segment.ack,
@@ -126,6 +152,15 @@
         }
     }
 
+    /// Returns whether an opening packet is a copy of the one that opened this flow. Otherwise the
+    /// caller has closed the flow and uses its port for a new one.
+    pub fn is_opened_by(&self, now: Micros, segment: &Segment) -> bool {
+        match self.initial_seq {
+            Some(initial_seq) => initial_seq == segment.seq,
+            None => now.since(self.created_at) <= OPENING_COPY_WINDOW,
+        }
+    }
+
     /// Processes a packet of an established flow.
     pub fn on_packet(&mut self, now: Micros, segment: &Segment) -> Progress {
         self.last_packet_at = now;
--- a/crates/steer/src/opening.rs
+++ b/crates/steer/src/opening.rs
@@ -3,7 +3,7 @@
 use ids::{Micros, Millis};
 
 use crate::evidence::UnansweredPacket;
-use crate::flow::{Flow, OPENING_PACKET_BYTES, Stage, TriedTargets};
+use crate::flow::{Flow, Stage, TriedTargets};
 use crate::model::TargetId;
 use crate::packet::{FlowId, Segment};
 use crate::placement::choose_target;
@@ -28,14 +28,12 @@
             return Verdict::Drop(DropReason::NoView);
         }
         let id = segment.flow;
-        if let Some(flow) = self.flows.get(&id) {
-            match flow.stage {
-                Stage::Established => return self.forward_opening(Some(flow.target)),
-                Stage::Opening { tried, sent_at, .. } => {
-                    let is_waiting = now.since(sent_at) < self.settings.min_handshake_timeout;
-                    return self.retry_opening(now, &id, tried, is_waiting);
-                }
+        match self.flows.get(&id).copied() {
+            Some(flow) if flow.is_opened_by(now, segment) => {
+                return self.on_opening_copy(now, &id, &flow);
             }
+            Some(_) => self.remove_flow(&id),
+            None => {}
         }
         let Some(route) = self.view.route(id.entry) else {
             return Verdict::Reset(ResetReason::NoRoute);
@@ -59,18 +57,7 @@
 
     /// Adds a new flow to the table and schedules its handshake timeout.
     fn insert_opening(&mut self, now: Micros, segment: &Segment, packet: &[u8], target: TargetId) {
-        let mut tried = TriedTargets::default();
-        tried.push(target);
-        let mut saved_packet = [0; OPENING_PACKET_BYTES];
-        let length = packet.len().min(OPENING_PACKET_BYTES);
-        saved_packet[..length].copy_from_slice(&packet[..length]);
-        let mut flow = Flow::established(now, target, segment);
-        flow.stage = Stage::Opening {
-            tried,
-            sent_at: now,
-            packet: saved_packet,
-        };
-        flow.request_sent_at = Some(now);
+        let flow = Flow::opening(now, target, segment, packet);
         if self.flows.insert(segment.flow, flow) {
             self.adjust_counts(target, 1, 1);
             self.openings
@@ -79,15 +66,13 @@
         self.note_placed(segment.flow, target, 0);
     }
 
-    /// Handles a retransmitted opening packet: forwards it to another target, or to the last one
-    /// again.
-    fn retry_opening(
-        &mut self,
-        now: Micros,
-        id: &FlowId,
-        tried: TriedTargets,
-        is_waiting: bool,
-    ) -> Verdict {
+    /// Forwards a copy of an opening packet: to the target that accepted the flow, to the target
+    /// whose answer may still be on its way, or to another target.
+    fn on_opening_copy(&mut self, now: Micros, id: &FlowId, flow: &Flow) -> Verdict {
+        let Stage::Opening { tried, sent_at, .. } = flow.stage else {
+            return self.forward_opening(Some(flow.target));
+        };
+        let is_waiting = now.since(sent_at) < self.settings.min_handshake_timeout;
         let next = if is_waiting {
             tried.last()
         } else {
@@ -191,12 +176,21 @@
             }
             self.openings.pop_front();
             let Some(Flow {
-                stage: Stage::Opening { tried, packet, .. },
+                stage:
+                    Stage::Opening {
+                        tried,
+                        sent_at,
+                        packet,
+                    },
                 ..
             }) = self.flows.get(&id).copied()
             else {
                 continue;
             };
+            // The timeout belongs to an earlier flow from the same port.
+            if now.since(sent_at) < self.settings.min_handshake_timeout {
+                continue;
+            }
             let next = self.try_next_target(now, &id, tried);
             if let Some(to) = next.and_then(|next| self.destination(next)) {
                 resend(Resend {
--- a/crates/steer/tests/flow.rs
+++ b/crates/steer/tests/flow.rs
@@ -178,4 +178,44 @@
             order_target
         );
     }
+
+    // A caller may use the port of an earlier flow whose end this instance did not see. The old
+    // target may have left since, or the route may lead to another service.
+    new_flow_from_a_reused_port_is_placed_again => {
+        let mut instance = TestInstance::new();
+        let flow = instance.flow(UPLOAD);
+        let first = instance.open_established(flow);
+        let mut draining = new_target(first.0, "uploads", "a");
+        draining.is_draining = true;
+        instance.publish(vec![Change::Target(draining)]);
+        let second = expect_forwarded(instance.send_opening_from(flow, 9_000, 0)).id;
+        assert_ne!(second, first);
+        // Copies of the new opening packet belong to the new flow.
+        assert_eq!(expect_forwarded(instance.send_opening_from(flow, 9_000, 1)).id, second);
+        instance.publish(vec![Change::Document(new_document(2, Vec::new()))]);
+        let removed = instance.send_opening_from(flow, 20_000, 0);
+        assert_eq!(removed, Verdict::Reset(ResetReason::NoRoute));
+    }
+
+    late_copy_of_an_opening_packet_stays_with_its_flow => {
+        let mut instance = TestInstance::new();
+        let flow = instance.flow(ORDER);
+        let id = instance.open_established(flow);
+        instance.advance(Millis(600));
+        assert_eq!(expect_forwarded(instance.send_opening(flow, 2)).id, id);
+    }
+
+    new_flow_from_a_port_seen_only_in_the_middle_of_a_flow_is_placed_again => {
+        let mut instance = TestInstance::new();
+        let flow = instance.flow(UPLOAD);
+        let first = TargetId(6);
+        instance.send_data(flow, first, 100, 0);
+        instance.advance(Millis(500));
+        assert_eq!(expect_forwarded(instance.send_opening(flow, 2)).id, first);
+        let mut draining = new_target(first.0, "uploads", "a");
+        draining.is_draining = true;
+        instance.publish(vec![Change::Target(draining)]);
+        instance.advance(Millis(1_500));
+        assert_ne!(expect_forwarded(instance.send_opening(flow, 0)).id, first);
+    }
 }
--- a/crates/steer/tests/kit/mod.rs
+++ b/crates/steer/tests/kit/mod.rs
@@ -128,13 +128,18 @@
     }
 
     pub fn send_opening(&mut self, flow: FlowId, resend: u32) -> Verdict {
+        self.send_opening_from(flow, 100, resend)
+    }
+
+    /// Sends an opening packet with the initial sequence number `seq`.
+    pub fn send_opening_from(&mut self, flow: FlowId, seq: u32, resend: u32) -> Verdict {
         self.send(Segment {
             flow,
             kind: PacketKind::Open {
                 retransmissions: resend,
             },
             token: Token(0),
-            seq: 100,
+            seq,
             ack: resend,
             data_bytes: 0,
         })
