Keep flows of a target that responds although its report is missing

Cause: four seconds after a target's report had disappeared, idempotent flows to it were reset, whatever callers' packets showed.

Ruled out: longer grace for all (flows of targets that have left would hang until their callers give up); keeping a flow without any response since (the published state then has the only word).

Change: flows of a gone target are kept if the target has responded since its report disappeared. If it dies later, unanswered requests show it as for any other target.

Test, failing before: flow_of_a_responding_target_is_kept_although_its_report_is_missing.

--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -7,7 +7,6 @@
 use crate::model::TargetId;
 use crate::packet::{PacketKind, Segment, Token};
 use crate::steer::Steer;
-use crate::target_state::TargetState;
 use crate::verdict::{DropReason, Note, ResetReason, Verdict};
 
 /// The mean response time is an exponential moving average in which a new response has the weight
@@ -51,7 +50,7 @@
             return None;
         }
         let record = self.view.record(id)?;
-        if record.state == TargetState::Gone && now >= record.flows_end_at {
+        if record.are_flows_over(now) {
             return Some(ResetReason::TargetGone);
         }
         let is_dead = record.responsiveness.is_dead(now)
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -27,10 +27,12 @@
     pub state: TargetState,
     /// When the target entered this state.
     pub state_since: Micros,
+    /// When the report disappeared.
+    removed_at: Micros,
     /// Once the target is gone, the time from which its open flows count as dead. After a failure
     /// of the store, the report of a live target may be read some time after the store has
     /// recovered.
-    pub flows_end_at: Micros,
+    flows_end_at: Micros,
     /// End of the slow start after which the target is warm.
     pub warm_from: Micros,
     /// Number of pending requests on flows of this instance.
@@ -62,6 +64,14 @@
         self.responsiveness.is_avoided(now) || self.stalled_requests.is_avoided(now)
     }
 
+    /// Returns whether open flows of the target count as dead. A target that has responded since its
+    /// report disappeared only fails to report.
+    pub fn are_flows_over(&self, now: Micros) -> bool {
+        self.state == TargetState::Gone
+            && now >= self.flows_end_at
+            && self.responsiveness.last_response_at() <= self.removed_at
+    }
+
     fn state_change(&self) -> ViewChange {
         ViewChange::Target {
             id: self.target.id,
@@ -324,6 +334,7 @@
             revision,
             state: self.chart.start(),
             state_since: now,
+            removed_at: now,
             flows_end_at: now,
             warm_from,
             waiting: 0,
@@ -349,6 +360,7 @@
         }
         record.revision = revision;
         let change = record.apply_event(&self.chart, now, TargetEvent::Removed)?;
+        record.removed_at = now;
         record.flows_end_at = match record.state {
             TargetState::Lapsed => now + lapse_grace + lapse_grace,
             _ => now,
--- a/crates/steer/tests/flow.rs
+++ b/crates/steer/tests/flow.rs
@@ -218,4 +218,20 @@
         instance.advance(Millis(1_500));
         assert_ne!(expect_forwarded(instance.send_opening(flow, 0)).id, first);
     }
+
+    // A report that is missing only shows that the target does not report. Its responses show
+    // that it still works on the requests of its flows.
+    flow_of_a_responding_target_is_kept_although_its_report_is_missing => {
+        let mut instance = TestInstance::new();
+        let busy = instance.flow(LOOKUP);
+        let id = instance.open_established(busy);
+        instance.publish((1..=5).map(|id| Change::TargetGone(TargetId(id))).collect());
+        instance.advance(Millis(2_001));
+        instance.sweep();
+        instance.send_data(busy, id, 100, 0);
+        instance.advance(Millis(20));
+        instance.send_data(busy, id, 0, 500);
+        instance.advance(Millis(2_500));
+        assert_eq!(expect_forwarded(instance.send_data(busy, id, 200, 500)).id, id);
+    }
 }
