Keep targets that have left out of a view taken from a peer that is behind

Change: after a first view that is older than the page read, the changes since are requested from the store; changes up to the known revision are ignored; after the history is gone, an older complete view is refused.

Tests, failing before: repeated_changes_do_not_bring_a_target_back, first_view_of_an_outdated_peer_is_caught_up.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -9,7 +9,7 @@
 use hashbrown::HashMap;
 use ids::Millis;
 use slog::{Logger, info, warn};
-use steer::{Change, Evidence, Peers, TargetId, Update};
+use steer::{Change, Evidence, Peers, Target, TargetId, Update};
 use tokio::sync::{Notify, Semaphore, broadcast, mpsc};
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
@@ -263,18 +263,24 @@
 }
 
 impl PublishedState {
+    /// Applies an update unless the item has a newer one: the pages of a snapshot may be newer than
+    /// its revision.
     fn apply(&mut self, update: &Update) {
+        let is_newer =
+            |known: Option<&Update>| known.is_none_or(|known| update.revision >= known.revision);
         match &update.change {
-            Change::Document(_) => self.document = Some(update.clone()),
-            Change::Target(target) => {
-                self.targets.insert(target.id, update.clone());
+            Change::Document(_) if is_newer(self.document.as_ref()) => {
+                self.document = Some(update.clone());
             }
-            Change::TargetUnreadable(id) => {
+            Change::Target(Target { id, .. }) | Change::TargetUnreadable(id)
+                if is_newer(self.targets.get(id)) =>
+            {
                 self.targets.insert(*id, update.clone());
             }
-            Change::TargetGone(id) => {
+            Change::TargetGone(id) if is_newer(self.targets.get(id)) => {
                 self.targets.remove(id);
             }
+            _ => {}
         }
     }
 
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -207,34 +207,52 @@
         if self.partial.next_after.is_some() {
             return Ok(());
         }
-        let mut partial = std::mem::take(&mut self.partial);
-        if partial.page_count > 1 {
-            self.catch_up(&mut partial).await;
+        let PartialSnapshot {
+            revision,
+            page_count,
+            mut updates,
+            ..
+        } = std::mem::take(&mut self.partial);
+        let mut revision = revision.unwrap_or_default();
+        if page_count > 1 {
+            // The next watch hits the same failure, and its result is handled in `run`.
+            let _ = self.catch_up(&mut revision, &mut updates).await;
         }
-        let revision = partial.revision.unwrap_or_default();
         info!(self.log, "store read"; "step" => "store", "revision" => revision,
-            "items" => partial.updates.len());
+            "items" => updates.len());
         self.needs_snapshot = false;
         self.note_source_answered();
-        self.apply_snapshot(revision, partial.updates);
+        self.apply_snapshot(revision, updates);
         Ok(())
     }
 
-    /// Adds the changes since the first page, so that after a long read no flow is steered by an
-    /// outdated configuration.
-    async fn catch_up(&self, partial: &mut PartialSnapshot) {
-        let after = partial.revision.unwrap_or_default();
+    /// Adds the changes since the revision of a snapshot, so that after a long read, or with the
+    /// view of a peer that is behind, no flow is steered by an outdated configuration.
+    async fn catch_up(
+        &self,
+        revision: &mut u64,
+        updates: &mut Vec<Update>,
+    ) -> platform::Result<()> {
         let timeout = answer_timeout(&self.context);
-        match self.context.store.watch(after, Millis(0), timeout).await {
+        match self
+            .context
+            .store
+            .watch(*revision, Millis(0), timeout)
+            .await
+        {
             Ok(changes) => {
                 self.count_call("watch");
                 self.log_value_errors(&changes.value_errors);
-                partial.updates.extend(changes.updates);
-                partial.revision = Some(changes.revision);
+                updates.extend(changes.updates);
+                *revision = changes.revision;
+                Ok(())
+            }
+            Err(error) => {
+                self.count_call("failed");
+                info!(self.log, "reading not caught up"; "step" => "store",
+                    "revision" => *revision, "reason" => %error);
+                Err(error)
             }
-            // The next watch hits the same failure, and its result is handled in `run`.
-            Err(error) => info!(self.log, "reading not caught up"; "step" => "store",
-                "revision" => after, "reason" => %error),
         }
     }
 
@@ -326,13 +344,9 @@
         let part = stream.next(limit).await?;
         let updates = relay::decode(&part).map_err(FollowError::failed)?;
         self.context.relay.receive_from_upstream(&part.evidence);
-        // The peer will either catch up or report that its own source does not answer.
-        let is_older = !self.needs_snapshot && Some(part.revision) < self.revision;
-        if part.is_complete && !is_older {
-            self.needs_snapshot = false;
-            self.partial = PartialSnapshot::default();
-            self.apply_snapshot(part.revision, updates);
-        } else if !part.is_complete {
+        if part.is_complete {
+            self.receive_snapshot(part.revision, updates).await?;
+        } else {
             self.apply_changes(part.revision, updates);
         }
         if part.is_current {
@@ -344,14 +358,46 @@
         }
     }
 
+    /// Applies the complete view of a peer, unless this instance knows a newer revision.
+    async fn receive_snapshot(
+        &mut self,
+        mut revision: u64,
+        mut updates: Vec<Update>,
+    ) -> Result<(), FollowError> {
+        match self.revision {
+            // The peer will either catch up or report that its own source does not answer.
+            Some(known) if revision < known && !self.needs_snapshot => return Ok(()),
+            Some(known) if revision < known => {
+                return Err(FollowError::failed("the view of the peer is older"));
+            }
+            // The first page that was read is newer: a target that has left since must not be used
+            // again. Without the store, the view of the peer is the best one there is.
+            None if Some(revision) < self.partial.revision => {
+                let result = self.catch_up(&mut revision, &mut updates).await;
+                if let Err(Error::Compacted { .. }) = result {
+                    return Err(FollowError::NoView);
+                }
+            }
+            _ => {}
+        }
+        self.needs_snapshot = false;
+        self.partial = PartialSnapshot::default();
+        self.apply_snapshot(revision, updates);
+        Ok(())
+    }
+
     fn apply_snapshot(&mut self, revision: u64, updates: Vec<Update>) {
         self.revision = Some(revision);
         self.context.relay.publish_snapshot(revision, &updates);
         self.send(LoopEvent::Snapshot { revision, updates });
     }
 
-    fn apply_changes(&mut self, revision: u64, updates: Vec<Update>) {
-        let revision = revision.max(self.revision.unwrap_or(0));
+    /// Applies changes up to a revision. A peer that is behind repeats changes that are included in
+    /// this view already; a target that was removed since must not come back.
+    fn apply_changes(&mut self, revision: u64, mut updates: Vec<Update>) {
+        let known_revision = self.revision.unwrap_or(0);
+        updates.retain(|update| update.revision > known_revision);
+        let revision = revision.max(known_revision);
         self.revision = Some(revision);
         self.context.relay.publish_changes(revision, &updates);
         self.send(LoopEvent::Changes { revision, updates });
--- a/crates/edge/tests/kit/instance.rs
+++ b/crates/edge/tests/kit/instance.rs
@@ -82,6 +82,13 @@
             .sum()
     }
 
+    /// Returns whether the log of the instance has a line with this message.
+    pub fn log_contains(&self, message: &str) -> bool {
+        std::fs::read_to_string(self.settings_file.with_extension("log"))
+            .unwrap()
+            .contains(&format!("\"msg\":\"{message}\""))
+    }
+
     pub fn send_signal(&self, name: &str) {
         let status = Command::new("kill")
             .args([format!("-{name}"), self.process.id().to_string()])
--- /dev/null
+++ b/crates/edge/tests/outdated_peer.rs
@@ -0,0 +1,159 @@
+//! Tests that a peer whose view is behind does not bring back targets that have left.
+
+#![allow(clippy::unwrap_used)]
+
+mod kit;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::pin::Pin;
+use std::time::Duration;
+
+use ids::Millis;
+use kit::proxy::{Impairment, Proxy};
+use kit::target::Target;
+use kit::{ENTRY, LINK_MBPS, PEER_PORT, TestNetwork, wait_until};
+use steer::{Change, Document, Repeat, Route, Share, TargetId, Update};
+use tokio_stream::{Stream, StreamExt};
+use tonic::{Request, Response, Status, Streaming};
+use wire::steering::relay_server::{Relay, RelayServer};
+use wire::steering::{FollowRequest, MeetReply, MeetRequest, Peer, ViewPart};
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {$(
+        #[tokio::test]
+        async fn $name() $body
+    )*};
+}
+
+/// A peer that every instance prefers and that sends the same parts to each follower.
+#[derive(Debug)]
+struct OutdatedPeer {
+    host: Ipv4Addr,
+    parts: Vec<ViewPart>,
+}
+
+#[tonic::async_trait]
+impl Relay for OutdatedPeer {
+    async fn meet(&self, _: Request<MeetRequest>) -> Result<Response<MeetReply>, Status> {
+        Ok(Response::new(MeetReply {
+            peers: vec![Peer {
+                address: SocketAddr::from((self.host, PEER_PORT)).to_string(),
+                domain: "a".to_owned(),
+                link_kbps: u64::from(LINK_MBPS) * 2_000,
+                heard_ms: 0,
+            }],
+        }))
+    }
+
+    type FollowStream = Pin<Box<dyn Stream<Item = Result<ViewPart, Status>> + Send>>;
+
+    async fn follow(
+        &self,
+        _: Request<Streaming<FollowRequest>>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let parts: Vec<_> = self.parts.iter().cloned().map(Ok).collect();
+        let stream = tokio_stream::iter(parts).chain(tokio_stream::pending());
+        Ok(Response::new(Box::pin(stream)))
+    }
+}
+
+fn start_peer(host: Ipv4Addr, parts: Vec<ViewPart>) {
+    let service = RelayServer::new(OutdatedPeer { host, parts });
+    let server = tonic::transport::Server::builder().add_service(service);
+    tokio::spawn(server.serve(SocketAddr::from((host, PEER_PORT))));
+}
+
+fn part(revision: u64, is_complete: bool, updates: &[Update]) -> ViewPart {
+    ViewPart {
+        revision,
+        is_complete,
+        is_current: true,
+        updates: postcard::to_allocvec(updates).unwrap(),
+        evidence: Vec::new(),
+    }
+}
+
+fn document(entry: SocketAddrV4) -> Update {
+    Update {
+        revision: 2,
+        change: Change::Document(Document {
+            version: 1,
+            routes: vec![Route {
+                entry,
+                shares: vec![Share {
+                    service: "rates".into(),
+                    weight: 1,
+                }],
+                repeat: Repeat::Idempotent,
+            }],
+            idle: Millis(15_000),
+        }),
+    }
+}
+
+fn ready_report(revision: u64, target: &Target) -> Update {
+    Update {
+        revision,
+        change: Change::Target(steer::Target {
+            id: TargetId(target.id),
+            service: "rates".into(),
+            address: target.address,
+            domain: "a".into(),
+            slots: 2,
+            is_draining: false,
+            warmup: Millis(0),
+            incarnation: 1,
+        }),
+    }
+}
+
+/// Opens flows until every target of the view must have got some, and returns whether one of them
+/// went to a target that has left.
+async fn uses_target(net: &mut TestNetwork, via: SocketAddrV4, target: usize) -> bool {
+    let token = TargetId(net.targets[target].id).token().0;
+    for _ in 0..6 * net.targets.len() {
+        if net.caller.open_flow(via).await.unwrap().token == token {
+            return true;
+        }
+    }
+    false
+}
+
+cases! {
+    // The instance has read that a target has left, and then follows a peer that only now learns
+    // of an earlier report of this target.
+    repeated_changes_do_not_bring_a_target_back => {
+        let mut net = TestNetwork::new(2).await;
+        let report = ready_report(4, &net.targets[1]);
+        net.store.delete(&net.targets[1].store_key());
+        let parts = vec![part(3, false, &[]), part(4, false, &[report])];
+        start_peer(net.instance_host(1), parts);
+        let instance = net.start_ready(0).await;
+        wait_until("the instance follows", || async {
+            instance.log_contains("peer followed")
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!uses_target(&mut net, instance.packet_address(), 1).await);
+    }
+
+    // A restarted instance reads one page of the store and takes the rest from a peer, which may
+    // not have noticed yet that it is cut off from the store.
+    first_view_of_an_outdated_peer_is_caught_up => {
+        let mut net = TestNetwork::new(8).await;
+        let mut reports = vec![document(ENTRY)];
+        reports.extend((3..).zip(&net.targets).map(|(rev, target)| ready_report(rev, target)));
+        start_peer(net.instance_host(1), vec![part(10, true, &reports)]);
+        let (key, report) = (net.targets[7].store_key(), net.targets[7].store_record("draining"));
+        net.store.put(&key, &report);
+        net.store.delete(&key);
+        let address = SocketAddr::from((net.caller_host(1), 9_000));
+        let proxy = Proxy::start(address, net.store.address).await;
+        // The delay lets the instance discover its peer before the first page arrives.
+        proxy.set_impairment(Impairment::Delayed);
+        let instance = net.start_with(0, proxy.address, LINK_MBPS);
+        wait_until("the instance is ready", || instance.is_ready()).await;
+        assert!(instance.log_contains("peer followed"));
+        assert!(!uses_target(&mut net, instance.packet_address(), 7).await);
+    }
+}
