Take first views from peers, and call a store that is away in turn

After the last fault 352 instances start at 42.35 s and place their first flow at 43.91 s (median). All of them read 540 KB in two pages at once, which fills the store's link of 1,000 Mbit/s for 1.5 s. Peers were asked, but had no view themselves yet and refused. 2. Of 6,422 calls 3,885 failed between 3.2 s and 9.6 s, while the store was down: when a leader loses its source, all its followers leave it and call the store themselves, each about 1.2 times a second.

Ruled out: reading after a random pause, or asking the seeds first (small fleets, whose view is one small page, would start later); more pages at once (the link is full); no calls by followers at all (a leader that alone is cut off would take its failure domain with it).

Change: a first page that has not come after 50 ms is abandoned once a better peer is known. A peer without a view keeps its followers and sends the view as soon as it has one; after a bounded wait the store is read. A follower whose peer loses its source stays and calls the store itself when its turn comes: the better its rank, the sooner, at most after a fifth of the change limit, then once in half of it (steer::store_turn, tested without a network). Following peers moved to its own file.

--- /dev/null
+++ b/crates/edge/src/follower.rs
@@ -0,0 +1,230 @@
+//! Takes the view from peers: follows one, and fetches single views while the store is away.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ids::Millis;
+use platform::Error;
+use rand::Rng;
+use slog::info;
+use steer::Update;
+use steer::store_turn::{first_turn, retry_turn};
+use tokio::time::Instant;
+use wire::steering::ViewPart;
+
+use crate::peer::{self, FollowError, ViewStream};
+use crate::relay::{self, HEARTBEAT_INTERVAL, lock};
+use crate::view_reader::{
+    MAX_PAGE_TIMEOUT, MAX_RETRY_PAUSE, PartialSnapshot, ReaderContext, ViewReader,
+};
+
+/// Number of missed heartbeats after which a peer is considered unresponsive.
+const MAX_MISSED_HEARTBEATS: u32 = 3;
+
+impl ViewReader {
+    /// Follows a peer until it fails or a better one is known.
+    pub(crate) async fn follow(&mut self, upstream: SocketAddr) {
+        let result = self.follow_while_better(upstream).await;
+        self.context.relay.close_upstream();
+        let Err(reason) = result else {
+            return;
+        };
+        info!(self.log, "peer lost"; "step" => "follow", "peer" => %upstream, "reason" => %reason);
+        let now = self.context.clock.now();
+        if reason == FollowError::Full {
+            lock(&self.context.peers).mark_full(now, upstream);
+            let ReaderContext { peers, clock, .. } = &self.context;
+            peer::exchange_peers(upstream, peers.clone(), *clock, self.log.clone()).await;
+            return;
+        }
+        lock(&self.context.peers).suspend(now, upstream);
+        self.may_be_stale = self.revision.is_some();
+    }
+
+    async fn follow_while_better(&mut self, peer: SocketAddr) -> Result<(), FollowError> {
+        let requests = self.context.relay.open_upstream(self.known_revision());
+        let mut stream = ViewStream::open(peer, requests).await?;
+        info!(self.log, "peer followed"; "step" => "follow", "peer" => %peer,
+            "revision" => self.known_revision());
+        let mut has_joined = self.revision.is_none();
+        let mut store_call_at: Option<Instant> = None;
+        loop {
+            let part = tokio::select! {
+                part = stream.next(self.part_limit()) => part?,
+                () = sleep_until(store_call_at) => {
+                    if self.call_store().await {
+                        lock(&self.context.peers).suspend(self.context.clock.now(), peer);
+                        return Ok(());
+                    }
+                    store_call_at = Some(Instant::now() + self.retry_turn());
+                    continue;
+                }
+            };
+            let is_current = part.is_current;
+            if is_current {
+                // Before the view is passed on, so that followers of this instance do not take it
+                // for outdated.
+                self.note_source_answered();
+                store_call_at = None;
+            }
+            self.receive_part(part).await?;
+            if !is_current && !has_joined && self.source_lost_at.is_none() {
+                return Err(FollowError::SourceLost);
+            }
+            if !is_current && store_call_at.is_none() {
+                info!(self.log, "peer lost its source"; "step" => "follow", "peer" => %peer,
+                    "revision" => self.known_revision());
+                self.context.relay.set_current(false);
+                store_call_at = Some(Instant::now() + self.first_turn());
+            }
+            has_joined = true;
+            if self.upstream_peer() != Some(peer) {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Returns how long the next part of a peer's view may take.
+    fn part_limit(&self) -> Duration {
+        match self.revision {
+            Some(_) => HEARTBEAT_INTERVAL * MAX_MISSED_HEARTBEATS,
+            None => self.peers_first_until() - Instant::now(),
+        }
+    }
+
+    /// Returns until when a first view that the store does not return at once is expected from
+    /// peers.
+    pub(crate) fn peers_first_until(&self) -> Instant {
+        self.peers_first_from + self.answer_timeout() + self.first_turn()
+    }
+
+    /// Returns how long this instance waits for better peers before it calls the store.
+    fn first_turn(&self) -> Duration {
+        let better_peers = lock(&self.context.peers).better_count();
+        to_duration(first_turn(better_peers, self.context.change_limit))
+    }
+
+    /// Returns the pause until the next call to the store, which has just failed.
+    fn retry_turn(&mut self) -> Duration {
+        let better_peers = lock(&self.context.peers).better_count();
+        let turn = to_duration(retry_turn(better_peers, self.context.change_limit));
+        turn.max(self.next_retry_pause())
+    }
+
+    /// Returns the pause after a failed call, with jitter, and doubles the next one.
+    pub(crate) fn next_retry_pause(&mut self) -> Duration {
+        let jitter = self.random.random_range(0.75..1.25);
+        let pause = self.retry_pause.mul_f64(jitter);
+        self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
+        pause
+    }
+
+    /// Requests the changes from the store itself while the source of the peers fails. Returns
+    /// whether the store answered.
+    async fn call_store(&mut self) -> bool {
+        let after = self.known_revision();
+        let timeout = self.answer_timeout();
+        match self.context.store.watch(after, Millis(0), timeout).await {
+            Ok(changes) => {
+                self.note_source_answered();
+                self.count_call("watch");
+                self.log_value_errors(&changes.value_errors);
+                self.apply_changes(changes.revision, changes.updates);
+                true
+            }
+            Err(Error::Compacted { peer }) => {
+                self.note_source_answered();
+                self.note_compacted(&peer);
+                true
+            }
+            Err(error) => {
+                self.note_store_failed(&error);
+                false
+            }
+        }
+    }
+
+    /// Returns the revision from which a peer has to send changes, or 0 to get a complete view.
+    fn known_revision(&self) -> u64 {
+        self.revision.filter(|_| !self.needs_snapshot).unwrap_or(0)
+    }
+
+    /// Applies a part of a peer's view.
+    async fn receive_part(&mut self, part: ViewPart) -> Result<(), FollowError> {
+        let updates = relay::decode(&part).map_err(FollowError::failed)?;
+        self.context.relay.receive_from_upstream(&part.evidence);
+        if part.is_complete {
+            return self.receive_snapshot(part.revision, updates).await;
+        }
+        self.apply_changes(part.revision, updates);
+        Ok(())
+    }
+
+    /// Applies the complete view of a peer, unless this instance knows a newer revision.
+    async fn receive_snapshot(
+        &mut self,
+        mut revision: u64,
+        mut updates: Vec<Update>,
+    ) -> Result<(), FollowError> {
+        match self.revision {
+            // The peer will either catch up or report that its own source does not answer.
+            Some(known) if revision < known && !self.needs_snapshot => return Ok(()),
+            Some(known) if revision < known => {
+                return Err(FollowError::failed("the view of the peer is older"));
+            }
+            // The first page that was read is newer: a target that has left since must not be used
+            // again. Without the store, the view of the peer is the best one there is.
+            None if Some(revision) < self.partial.revision => {
+                let result = self.catch_up(&mut revision, &mut updates).await;
+                if let Err(Error::Compacted { .. }) = result {
+                    return Err(FollowError::failed("the view of the peer is too old"));
+                }
+            }
+            _ => {}
+        }
+        self.needs_snapshot = false;
+        self.partial = PartialSnapshot::default();
+        self.apply_snapshot(revision, updates);
+        Ok(())
+    }
+
+    /// Fetches the view of any peer while this instance cannot reach the store, since others may
+    /// reach it.
+    pub(crate) async fn fetch_view_from_peer(&mut self) {
+        let Some(peer) = lock(&self.context.peers).fallback(self.context.clock.now()) else {
+            return;
+        };
+        let previous_revision = self.revision;
+        if let Err(reason) = self.fetch_view_from(peer).await {
+            info!(self.log, "no view from peer"; "step" => "follow", "peer" => %peer,
+                "reason" => %reason);
+            lock(&self.context.peers).suspend(self.context.clock.now(), peer);
+        } else if self.revision > previous_revision {
+            info!(self.log, "view taken from peer"; "step" => "follow", "peer" => %peer,
+                "revision" => self.revision);
+        }
+    }
+
+    async fn fetch_view_from(&mut self, peer: SocketAddr) -> Result<(), FollowError> {
+        let mut stream = ViewStream::fetch_once(peer, self.known_revision()).await?;
+        let part = stream.next(MAX_PAGE_TIMEOUT).await?;
+        let is_current = part.is_current;
+        self.receive_part(part).await?;
+        if is_current {
+            return Ok(());
+        }
+        Err(FollowError::SourceLost)
+    }
+}
+
+fn to_duration(time: Millis) -> Duration {
+    Duration::from_millis(time.0)
+}
+
+/// Sleeps until `deadline`, or forever if there is none.
+async fn sleep_until(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 mod error;
 mod evidence;
+mod follower;
 mod http;
 mod line_limiter;
 mod metrics;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -140,8 +140,8 @@
 pub enum FollowError {
     /// the peer accepts no more followers
     Full,
-    /// the peer has no view yet
-    NoView,
+    /// the source of the peer does not answer
+    SourceLost,
     /// {0}
     Failed(String),
 }
@@ -150,7 +150,6 @@
     fn from(status: Status) -> Self {
         match status.code() {
             Code::ResourceExhausted => Self::Full,
-            Code::FailedPrecondition => Self::NoView,
             _ => Self::Failed(status.to_string()),
         }
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -247,17 +247,19 @@
         let _ = self.parts.send(part);
     }
 
-    /// Returns the first part for a follower whose view has the given revision.
-    fn first_part(&self, revision: u64) -> Result<ViewPart, Status> {
+    /// Returns the first part for a follower whose view has the given revision, or `None` if this
+    /// instance has no view yet.
+    fn first_part(&self, revision: u64) -> Result<Option<ViewPart>, Status> {
         let published = lock(&self.published);
         if published.document.is_none() {
-            return Err(Status::failed_precondition("no view yet"));
+            return Ok(None);
         }
         if revision == published.revision {
-            return Ok(published.heartbeat_part());
+            return Ok(Some(published.heartbeat_part()));
         }
         published
             .complete_part()
+            .map(Some)
             .map_err(|error| Status::internal(error.to_string()))
     }
 }
@@ -358,13 +360,15 @@
         let start = requests.message().await?.unwrap_or_default();
         let first = self.first_part(start.revision)?;
         if start.is_once {
-            return Ok(Response::new(Box::pin(tokio_stream::once(Ok(first)))));
+            let part = first.ok_or_else(|| Status::failed_precondition("no view yet"))?;
+            return Ok(Response::new(Box::pin(tokio_stream::once(Ok(part)))));
         }
         let Ok(slot) = self.follower_slots.clone().try_acquire_owned() else {
             return Err(Status::resource_exhausted("enough followers"));
         };
         info!(self.log, "follower joined"; "step" => "relay", "peer" => follower,
-            "revision" => first.revision, "complete" => first.is_complete);
+            "revision" => first.as_ref().map(|part| part.revision),
+            "complete" => first.as_ref().is_some_and(|part| part.is_complete));
         self.follower_joined.notify_one();
         let (queue, parts) = flume::bounded(MAX_QUEUED_PARTS);
         tokio::spawn(stream_parts(self.clone(), first, live_parts, queue));
@@ -386,14 +390,22 @@
     }
 }
 
-/// Sends parts to one follower until it disconnects or falls behind.
+/// Sends parts to one follower until it disconnects or falls behind. Without a first part, waits
+/// until this instance has a view: when many instances start at once, they all get it with the
+/// first message that can contain it.
 async fn stream_parts(
     relay: RelayService,
-    first: ViewPart,
+    first: Option<ViewPart>,
     mut live_parts: broadcast::Receiver<ViewPart>,
     queue: flume::Sender<Result<ViewPart, Status>>,
 ) {
-    let mut part = first;
+    let mut part = match first {
+        Some(part) => part,
+        None => match first_view(&mut live_parts).await {
+            Some(part) => part,
+            None => return,
+        },
+    };
     loop {
         if queue.send_async(Ok(part)).await.is_err() {
             return;
@@ -405,3 +417,13 @@
         };
     }
 }
+
+/// Waits for the first complete part. Returns `None` if too many parts were missed.
+async fn first_view(live_parts: &mut broadcast::Receiver<ViewPart>) -> Option<ViewPart> {
+    loop {
+        let part = live_parts.recv().await.ok()?;
+        if part.is_complete {
+            return Some(part);
+        }
+    }
+}
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -1,4 +1,5 @@
-//! Keeps the view up to date, from the store itself or from a peer that reads it.
+//! Keeps the view up to date, from the store itself or from a peer that reads it; [`crate::follower`]
+//! has the part about peers.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -6,8 +7,8 @@
 
 use ids::Millis;
 use platform::{Error, Store};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use slog::{Logger, info, warn};
 use steer::status::CoreStatus;
 use steer::{Evidence, Peers, Update};
@@ -15,8 +16,7 @@
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::peer::{self, FollowError, ViewStream};
-use crate::relay::{self, HEARTBEAT_INTERVAL, RelayService, lock};
+use crate::relay::{RelayService, lock};
 
 /// Wait time of a watch without followers. A connection that hangs is detected when the wait ends;
 /// until then this instance gets no changes from the store in any case.
@@ -32,7 +32,7 @@
 
 /// Maximum timeout for a page of the store or for the first view from a peer, which may be a
 /// megabyte over a slow link.
-const MAX_PAGE_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const MAX_PAGE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// After changes, the next watch is delayed by this fraction of the change limit, so that one call
 /// returns several changes. The rest of the limit is left for a slow store and one retry.
@@ -41,10 +41,15 @@
 /// Minimum and maximum pause after a failed call. Refused calls are charged as well, and the store
 /// usually recovers within seconds.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(50);
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+pub(crate) const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
 
-/// Number of missed heartbeats after which a peer is considered unresponsive.
-const MAX_MISSED_HEARTBEATS: u32 = 3;
+/// Time after which a first page is no longer awaited if a better peer is known. The store usually
+/// answers within milliseconds; it takes longer if all instances of a large fleet read a large view
+/// at the same time.
+const FIRST_PAGE_PATIENCE: Duration = Duration::from_millis(50);
+
+/// Interval at which an instance that still waits for its first page looks for a better peer.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Events that other tasks send to the packet loop.
 #[derive(Debug)]
@@ -86,9 +91,9 @@
 
 /// Pages of a snapshot that is not complete yet.
 #[derive(Debug, Default)]
-struct PartialSnapshot {
+pub(crate) struct PartialSnapshot {
     /// Revision up to which the pages are complete: the revision of the first page.
-    revision: Option<u64>,
+    pub(crate) revision: Option<u64>,
     page_count: u32,
     updates: Vec<Update>,
     /// Key after which the next page starts, or `None` before the first and after the last one.
@@ -98,25 +103,27 @@
 /// Keeps the view up to date until the process ends.
 #[derive(Debug)]
 pub struct ViewReader {
-    context: ReaderContext,
+    pub(crate) context: ReaderContext,
     events: flume::Sender<LoopEvent>,
     metrics: Metrics,
-    log: Logger,
+    pub(crate) log: Logger,
     /// Revision of the view, or `None` before the first view.
-    revision: Option<u64>,
+    pub(crate) revision: Option<u64>,
     /// Whether the next read must be a complete snapshot.
-    needs_snapshot: bool,
+    pub(crate) needs_snapshot: bool,
     /// Pages read so far; they are kept when a call fails.
-    partial: PartialSnapshot,
-    /// Whether the upstream peer had no view yet, so that one more page is read from the store
-    /// before the peer is asked again.
-    must_read_store: bool,
+    pub(crate) partial: PartialSnapshot,
+    /// Whether the store did not return the first page at once, so that the first view should come
+    /// from a peer.
+    prefers_peer: bool,
+    /// When this instance began to look for its first view.
+    pub(crate) peers_first_from: tokio::time::Instant,
     /// Whether the upstream peer failed, so that the view may be outdated.
-    may_be_stale: bool,
-    source_lost_at: Option<Instant>,
-    retry_pause: Duration,
+    pub(crate) may_be_stale: bool,
+    pub(crate) source_lost_at: Option<Instant>,
+    pub(crate) retry_pause: Duration,
     page_timeout: Duration,
-    random: SmallRng,
+    pub(crate) random: SmallRng,
 }
 
 impl ViewReader {
@@ -128,7 +135,7 @@
         log: Logger,
     ) -> Self {
         Self {
-            page_timeout: answer_timeout(&context),
+            page_timeout: answer_timeout(context.change_limit),
             context,
             events,
             metrics,
@@ -136,7 +143,8 @@
             revision: None,
             needs_snapshot: true,
             partial: PartialSnapshot::default(),
-            must_read_store: false,
+            prefers_peer: false,
+            peers_first_from: tokio::time::Instant::now(),
             may_be_stale: false,
             source_lost_at: None,
             retry_pause: MIN_RETRY_PAUSE,
@@ -157,12 +165,7 @@
             };
             match result {
                 Ok(()) => {}
-                Err(Error::Compacted { peer }) => {
-                    self.count_call("compacted");
-                    info!(self.log, "history is gone, reading again"; "step" => "store",
-                        "peer" => peer, "revision" => self.revision);
-                    self.needs_snapshot = true;
-                }
+                Err(Error::Compacted { peer }) => self.note_compacted(&peer),
                 Err(error) => {
                     self.note_store_failed(&error);
                     self.wait_after_failure().await;
@@ -173,18 +176,42 @@
 
     /// Returns the peer to follow, or `None` to read from the store.
     ///
-    /// A first view that fits into one page comes from the store, which answers sooner than peers
-    /// that start at the same time. A larger one comes from a peer after the first page, because
-    /// all instances together would saturate the store's link. After the upstream peer has failed,
-    /// the store is asked once first, so that the timeouts of several failed peers do not add up.
-    fn upstream_peer(&self) -> Option<SocketAddr> {
-        let has_more = self.partial.next_after.is_some() && !self.must_read_store;
-        if self.may_be_stale || self.revision.is_none() && !has_more {
+    /// A first view that fits into one page comes from the store if it answers at once, which is
+    /// sooner than peers that start at the same time. Otherwise it comes from a peer, because all
+    /// instances together would saturate the store's link, until the peers had enough time. After
+    /// the upstream peer has failed, the store is asked once first, so that the timeouts of several
+    /// failed peers do not add up.
+    pub(crate) fn upstream_peer(&self) -> Option<SocketAddr> {
+        if self.may_be_stale {
             return None;
         }
+        if self.revision.is_none() {
+            let is_for_peer = self.prefers_peer || self.partial.next_after.is_some();
+            if !is_for_peer || !self.is_turn_of_peers() {
+                return None;
+            }
+        }
         lock(&self.context.peers).upstream(self.context.clock.now())
     }
 
+    /// Returns whether a first view may still come from peers.
+    fn is_turn_of_peers(&self) -> bool {
+        tokio::time::Instant::now() < self.peers_first_until()
+    }
+
+    /// Completes once a better peer is known from which the first view may come. The store gets a
+    /// little time to answer before.
+    async fn better_peer_known(&self) {
+        tokio::time::sleep(FIRST_PAGE_PATIENCE).await;
+        loop {
+            let upstream = lock(&self.context.peers).upstream(self.context.clock.now());
+            if upstream.is_some() && self.is_turn_of_peers() {
+                return;
+            }
+            tokio::time::sleep(PEER_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Reads the next page and applies the snapshot after the last one.
     ///
     /// Pages may be read at different revisions, so changes are requested from the revision of the
@@ -193,13 +220,20 @@
     async fn read_page(&mut self) -> platform::Result<()> {
         let started_at = Instant::now();
         let after = self.partial.next_after.as_deref();
-        let page = self.context.store.page(after, self.page_timeout).await?;
+        let call = self.context.store.page(after, self.page_timeout);
+        let page = tokio::select! {
+            page = call => page?,
+            () = self.better_peer_known(), if self.revision.is_none() => {
+                self.count_call("abandoned");
+                self.prefers_peer = true;
+                return Ok(());
+            }
+        };
         self.metrics
             .store_call_seconds
             .observe(started_at.elapsed().as_secs_f64());
         self.count_call("page");
         self.log_value_errors(&page.value_errors);
-        self.must_read_store = false;
         self.partial.revision.get_or_insert(page.revision);
         self.partial.page_count += 1;
         self.partial.updates.extend(page.updates);
@@ -228,12 +262,12 @@
 
     /// Adds the changes since the revision of a snapshot, so that after a long read, or with the
     /// view of a peer that is behind, no flow is steered by an outdated configuration.
-    async fn catch_up(
+    pub(crate) async fn catch_up(
         &self,
         revision: &mut u64,
         updates: &mut Vec<Update>,
     ) -> platform::Result<()> {
-        let timeout = answer_timeout(&self.context);
+        let timeout = self.answer_timeout();
         match self
             .context
             .store
@@ -257,7 +291,7 @@
     }
 
     async fn watch(&mut self, after: u64) -> platform::Result<()> {
-        let timeout = answer_timeout(&self.context);
+        let timeout = self.answer_timeout();
         let call = self.context.store.watch(after, self.watch_wait(), timeout);
         let changes = tokio::select! {
             changes = call => changes?,
@@ -292,101 +326,7 @@
         IDLE_WATCH_WAIT
     }
 
-    /// Follows a peer until it fails or a better one is known.
-    async fn follow(&mut self, upstream: SocketAddr) {
-        let result = self.follow_while_current(upstream).await;
-        self.context.relay.close_upstream();
-        let Err(reason) = result else {
-            return;
-        };
-        info!(self.log, "peer lost"; "step" => "follow", "peer" => %upstream, "reason" => %reason);
-        let now = self.context.clock.now();
-        match reason {
-            FollowError::Full => {
-                lock(&self.context.peers).mark_full(now, upstream);
-                let ReaderContext { peers, clock, .. } = &self.context;
-                peer::exchange_peers(upstream, peers.clone(), *clock, self.log.clone()).await;
-            }
-            FollowError::NoView if self.revision.is_none() => {
-                self.must_read_store = true;
-                tokio::time::sleep(MIN_RETRY_PAUSE).await;
-            }
-            FollowError::NoView | FollowError::Failed(_) => {
-                lock(&self.context.peers).suspend(now, upstream);
-                self.may_be_stale = self.revision.is_some();
-            }
-        }
-    }
-
-    async fn follow_while_current(&mut self, peer: SocketAddr) -> Result<(), FollowError> {
-        let requests = self.context.relay.open_upstream(self.known_revision());
-        let mut stream = ViewStream::open(peer, requests).await?;
-        info!(self.log, "peer followed"; "step" => "follow", "peer" => %peer,
-            "revision" => self.known_revision());
-        loop {
-            self.receive_part(&mut stream).await?;
-            self.note_source_answered();
-            if self.upstream_peer() != Some(peer) {
-                return Ok(());
-            }
-        }
-    }
-
-    /// Returns the revision from which a peer has to send changes, or 0 to get a complete view.
-    fn known_revision(&self) -> u64 {
-        self.revision.filter(|_| !self.needs_snapshot).unwrap_or(0)
-    }
-
-    /// Receives and applies the next part of a peer's view.
-    async fn receive_part(&mut self, stream: &mut ViewStream) -> Result<(), FollowError> {
-        let silence_limit = HEARTBEAT_INTERVAL * MAX_MISSED_HEARTBEATS;
-        let limit = self.revision.map_or(MAX_PAGE_TIMEOUT, |_| silence_limit);
-        let part = stream.next(limit).await?;
-        let updates = relay::decode(&part).map_err(FollowError::failed)?;
-        self.context.relay.receive_from_upstream(&part.evidence);
-        if part.is_complete {
-            self.receive_snapshot(part.revision, updates).await?;
-        } else {
-            self.apply_changes(part.revision, updates);
-        }
-        if part.is_current {
-            Ok(())
-        } else {
-            Err(FollowError::failed(
-                "the source of the peer does not answer",
-            ))
-        }
-    }
-
-    /// Applies the complete view of a peer, unless this instance knows a newer revision.
-    async fn receive_snapshot(
-        &mut self,
-        mut revision: u64,
-        mut updates: Vec<Update>,
-    ) -> Result<(), FollowError> {
-        match self.revision {
-            // The peer will either catch up or report that its own source does not answer.
-            Some(known) if revision < known && !self.needs_snapshot => return Ok(()),
-            Some(known) if revision < known => {
-                return Err(FollowError::failed("the view of the peer is older"));
-            }
-            // The first page that was read is newer: a target that has left since must not be used
-            // again. Without the store, the view of the peer is the best one there is.
-            None if Some(revision) < self.partial.revision => {
-                let result = self.catch_up(&mut revision, &mut updates).await;
-                if let Err(Error::Compacted { .. }) = result {
-                    return Err(FollowError::NoView);
-                }
-            }
-            _ => {}
-        }
-        self.needs_snapshot = false;
-        self.partial = PartialSnapshot::default();
-        self.apply_snapshot(revision, updates);
-        Ok(())
-    }
-
-    fn apply_snapshot(&mut self, revision: u64, updates: Vec<Update>) {
+    pub(crate) fn apply_snapshot(&mut self, revision: u64, updates: Vec<Update>) {
         self.revision = Some(revision);
         self.context.relay.publish_snapshot(revision, &updates);
         self.send(LoopEvent::Snapshot { revision, updates });
@@ -394,7 +334,7 @@
 
     /// Applies changes up to a revision. A peer that is behind repeats changes that are included in
     /// this view already; a target that was removed since must not come back.
-    fn apply_changes(&mut self, revision: u64, mut updates: Vec<Update>) {
+    pub(crate) fn apply_changes(&mut self, revision: u64, mut updates: Vec<Update>) {
         let known_revision = self.revision.unwrap_or(0);
         updates.retain(|update| update.revision > known_revision);
         let revision = revision.max(known_revision);
@@ -408,19 +348,19 @@
         let _ = self.events.send(event);
     }
 
-    fn count_call(&self, outcome: &str) {
+    pub(crate) fn count_call(&self, outcome: &str) {
         self.metrics.store_calls.with_label_values(&[outcome]).inc();
     }
 
-    fn log_value_errors(&self, value_errors: &[Error]) {
+    pub(crate) fn log_value_errors(&self, value_errors: &[Error]) {
         for error in value_errors {
             warn!(self.log, "value refused"; "step" => "store", "reason" => %error);
         }
     }
 
-    fn note_source_answered(&mut self) {
+    pub(crate) fn note_source_answered(&mut self) {
         self.retry_pause = MIN_RETRY_PAUSE;
-        self.page_timeout = answer_timeout(&self.context);
+        self.page_timeout = self.answer_timeout();
         self.may_be_stale = false;
         self.context.relay.set_current(true);
         if let Some(since) = self.source_lost_at.take() {
@@ -429,7 +369,14 @@
         }
     }
 
-    fn note_store_failed(&mut self, error: &Error) {
+    pub(crate) fn note_compacted(&mut self, peer: &str) {
+        self.count_call("compacted");
+        info!(self.log, "history is gone, reading again"; "step" => "store",
+            "peer" => peer, "revision" => self.revision);
+        self.needs_snapshot = true;
+    }
+
+    pub(crate) fn note_store_failed(&mut self, error: &Error) {
         self.count_call("failed");
         self.context.relay.set_current(false);
         self.may_be_stale = false;
@@ -442,34 +389,16 @@
 
     async fn wait_after_failure(&mut self) {
         self.fetch_view_from_peer().await;
-        let jitter = self.random.random_range(0.75..1.25);
-        tokio::time::sleep(self.retry_pause.mul_f64(jitter)).await;
-        self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
+        tokio::time::sleep(self.next_retry_pause()).await;
     }
 
-    /// Fetches the view of any peer while this instance cannot reach the store, since others may
-    /// reach it.
-    async fn fetch_view_from_peer(&mut self) {
-        let Some(peer) = lock(&self.context.peers).fallback(self.context.clock.now()) else {
-            return;
-        };
-        let previous_revision = self.revision;
-        let result = match ViewStream::fetch_once(peer, self.known_revision()).await {
-            Ok(mut stream) => self.receive_part(&mut stream).await,
-            Err(reason) => Err(reason),
-        };
-        if let Err(reason) = result {
-            info!(self.log, "no view from peer"; "step" => "follow", "peer" => %peer,
-                "reason" => %reason);
-            lock(&self.context.peers).suspend(self.context.clock.now(), peer);
-        } else if self.revision > previous_revision {
-            info!(self.log, "view taken from peer"; "step" => "follow", "peer" => %peer,
-                "revision" => self.revision);
-        }
+    /// Returns the time within which the store has to answer.
+    pub(crate) fn answer_timeout(&self) -> Duration {
+        answer_timeout(self.context.change_limit)
     }
 }
 
 /// Returns the time within which the store has to answer.
-fn answer_timeout(context: &ReaderContext) -> Duration {
-    Duration::from_millis(context.change_limit.0 / ANSWER_TIMEOUT_DIVISOR)
+fn answer_timeout(change_limit: Millis) -> Duration {
+    Duration::from_millis(change_limit.0 / ANSWER_TIMEOUT_DIVISOR)
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,7 +8,8 @@
 //! A packet passes through the modules in this order: [`packet`], [`steer`], then `opening` with
 //! [`placement`] or `established` with [`flow`], and `passive_health` with [`evidence`]; the result
 //! is a [`verdict`]. [`model`], [`view`] and [`target_state`] hold the published state, [`peers`]
-//! decides which instance reads it from the store, and [`status`] reports the state to operators.
+//! decides which instance reads it from the store, [`store_turn`] decides when the others call it, and
+//! [`status`] reports the state to operators.
 
 mod established;
 pub mod evidence;
@@ -22,6 +23,7 @@
 pub mod settings;
 pub mod status;
 pub mod steer;
+pub mod store_turn;
 pub mod target_state;
 pub mod verdict;
 pub mod view;
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -137,12 +137,9 @@
     /// that the choice does not change as other peers come and go. Only better peers are followed,
     /// which rules out cycles.
     pub fn upstream(&self, now: Micros) -> Option<SocketAddr> {
-        let own_rank = self.own.rank();
         let better: Vec<&KnownPeer> = self
-            .known
-            .values()
-            .filter(|known| known.peer.domain == self.own.domain && now >= known.suspended_until)
-            .filter(|known| known.peer.rank() < own_rank)
+            .better_peers()
+            .filter(|known| now >= known.suspended_until)
             .collect();
         let best = better.iter().min_by_key(|known| known.peer.rank())?;
         if now >= best.full_until {
@@ -162,6 +159,19 @@
             .map(|(.., known)| known.peer.address)
     }
 
+    /// Returns the number of known peers of this failure domain that are better than this instance.
+    pub fn better_count(&self) -> usize {
+        self.better_peers().count()
+    }
+
+    fn better_peers(&self) -> impl Iterator<Item = &KnownPeer> {
+        let own_rank = self.own.rank();
+        self.known
+            .values()
+            .filter(|known| known.peer.domain == self.own.domain)
+            .filter(move |known| known.peer.rank() < own_rank)
+    }
+
     fn pair_hash(&self, peer: &Peer) -> u64 {
         hash_pair(self.own.hash(), peer.hash())
     }
