--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -128,13 +128,14 @@
             Ok(changes) => {
                 self.note_source_answered();
                 self.count_call("watch");
+                self.note_epoch(changes.epoch);
                 self.log_value_errors(&changes.value_errors);
                 self.apply_changes(changes.revision, changes.updates);
                 true
             }
-            Err(Error::Compacted { peer }) => {
+            Err(Error::Compacted { peer, epoch }) => {
                 self.note_source_answered();
-                self.note_compacted(&peer);
+                self.note_compacted(&peer, epoch);
                 true
             }
             Err(error) => {
@@ -168,7 +169,11 @@
     ) -> Result<(), FollowError> {
         match self.revision {
             // The peer will either catch up or report that its own source does not answer.
-            Some(known) if revision < known && !self.needs_snapshot => return Ok(()),
+            Some(known) if revision < known && !self.needs_snapshot => {
+                info!(self.log, "older view of peer ignored"; "step" => "follow",
+                    "peer_revision" => revision, "revision" => known);
+                return Ok(());
+            }
             Some(known) if revision < known => {
                 return Err(FollowError::failed("the view of the peer is older"));
             }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,6 +50,8 @@
     pub flows: IntGauge,
     /// Version of the active configuration document.
     pub document_version: IntGauge,
+    /// Epoch of the store.
+    pub store_epoch: IntGauge,
     /// Revision of the view.
     pub view_revision: IntGauge,
     /// Time since the view was last confirmed by its source.
@@ -117,6 +119,7 @@
             )?,
             flows: gauge("flows", "Flows in the table")?,
             document_version: gauge("document_version", "Version of the configuration in force")?,
+            store_epoch: gauge("store_epoch", "Epoch of the store, raised by each restore")?,
             view_revision: gauge("view_revision", "Revision of the view")?,
             view_age_ms: gauge("view_age_milliseconds", "Time since the view was confirmed")?,
             registry,
--- a/crates/edge/src/recorder.rs
+++ b/crates/edge/src/recorder.rs
@@ -158,6 +158,24 @@
                 info!(self.log, "configuration in force"; "version" => version,
                     "routes" => routes, "revision" => view.revision());
             }
+            ViewChange::DocumentIgnored {
+                version,
+                revision,
+                active_revision,
+            } => {
+                info!(self.log, "configuration ignored"; "version" => version,
+                    "item_revision" => revision, "document" => view.version(),
+                    "document_revision" => active_revision, "revision" => view.revision());
+            }
+            ViewChange::ReportIgnored {
+                id,
+                revision,
+                last_revision,
+            } => {
+                info!(self.log, "report ignored"; "target" => %id,
+                    "item_revision" => revision, "last_revision" => last_revision,
+                    "revision" => view.revision());
+            }
             ViewChange::Target { id, state } => {
                 info!(self.log, "target changed"; "target" => %id,
                     "to" => chart::Label::name(state), "revision" => view.revision());
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -109,6 +109,8 @@
     pub(crate) log: Logger,
     /// Revision of the view, or `None` before the first view.
     pub(crate) revision: Option<u64>,
+    /// Epoch of the store's last response, or 0 before the first one.
+    epoch: u64,
     /// Whether the next read must be a complete snapshot.
     pub(crate) needs_snapshot: bool,
     /// Pages read so far; they are kept when a call fails.
@@ -141,6 +143,7 @@
             metrics,
             log,
             revision: None,
+            epoch: 0,
             needs_snapshot: true,
             partial: PartialSnapshot::default(),
             prefers_peer: false,
@@ -165,7 +168,7 @@
             };
             match result {
                 Ok(()) => {}
-                Err(Error::Compacted { peer }) => self.note_compacted(&peer),
+                Err(Error::Compacted { peer, epoch }) => self.note_compacted(&peer, epoch),
                 Err(error) => {
                     self.note_store_failed(&error);
                     self.wait_after_failure().await;
@@ -233,6 +236,7 @@
             .store_call_seconds
             .observe(started_at.elapsed().as_secs_f64());
         self.count_call("page");
+        self.note_epoch(page.epoch);
         self.log_value_errors(&page.value_errors);
         self.partial.revision.get_or_insert(page.revision);
         self.partial.page_count += 1;
@@ -252,8 +256,8 @@
             // The next watch hits the same failure, and its result is handled in `run`.
             let _ = self.catch_up(&mut revision, &mut updates).await;
         }
-        info!(self.log, "store read"; "step" => "store", "revision" => revision,
-            "items" => updates.len());
+        info!(self.log, "store read"; "step" => "store", "epoch" => self.epoch,
+            "revision" => revision, "items" => updates.len());
         self.needs_snapshot = false;
         self.note_source_answered();
         self.apply_snapshot(revision, updates);
@@ -304,6 +308,7 @@
         };
         self.note_source_answered();
         self.count_call("watch");
+        self.note_epoch(changes.epoch);
         self.log_value_errors(&changes.value_errors);
         let has_changes = !changes.updates.is_empty();
         self.apply_changes(changes.revision, changes.updates);
@@ -336,7 +341,12 @@
     /// this view already; a target that was removed since must not come back.
     pub(crate) fn apply_changes(&mut self, revision: u64, mut updates: Vec<Update>) {
         let known_revision = self.revision.unwrap_or(0);
+        let received_count = updates.len();
         updates.retain(|update| update.revision > known_revision);
+        if updates.len() < received_count {
+            info!(self.log, "repeated changes ignored"; "step" => "follow",
+                "count" => received_count - updates.len(), "revision" => known_revision);
+        }
         let revision = revision.max(known_revision);
         self.revision = Some(revision);
         self.context.relay.publish_changes(revision, &updates);
@@ -369,13 +379,24 @@
         }
     }
 
-    pub(crate) fn note_compacted(&mut self, peer: &str) {
+    pub(crate) fn note_compacted(&mut self, peer: &str, epoch: u64) {
         self.count_call("compacted");
         info!(self.log, "history is gone, reading again"; "step" => "store",
-            "peer" => peer, "revision" => self.revision);
+            "peer" => peer, "epoch" => epoch, "revision" => self.revision);
+        self.note_epoch(epoch);
         self.needs_snapshot = true;
     }
 
+    /// Records the epoch of a response of the store.
+    pub(crate) fn note_epoch(&mut self, epoch: u64) {
+        let previous_epoch = std::mem::replace(&mut self.epoch, epoch);
+        self.metrics.store_epoch.set(epoch as i64);
+        if previous_epoch != 0 && previous_epoch != epoch {
+            warn!(self.log, "store restored"; "step" => "store", "from_epoch" => previous_epoch,
+                "epoch" => epoch, "revision" => self.revision);
+        }
+    }
+
     pub(crate) fn note_store_failed(&mut self, error: &Error) {
         self.count_call("failed");
         self.context.relay.set_current(false);
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -104,6 +104,24 @@
         /// Number of routes.
         routes: usize,
     },
+    /// A configuration was ignored because it is older than the active one.
+    DocumentIgnored {
+        /// Version of the ignored configuration.
+        version: u64,
+        /// Its revision.
+        revision: u64,
+        /// Revision of the active configuration.
+        active_revision: u64,
+    },
+    /// A report was ignored because it is older than the last one of the target.
+    ReportIgnored {
+        /// The target.
+        id: TargetId,
+        /// Revision of the ignored report.
+        revision: u64,
+        /// Revision of the last report.
+        last_revision: u64,
+    },
     /// A target was added, changed or removed.
     Target {
         /// The target.
@@ -272,7 +290,12 @@
 
     fn activate_document(&mut self, revision: u64, document: Document) -> Option<ViewChange> {
         if revision <= self.document_revision || document.version < self.version {
-            return None;
+            let is_repeated = document.version == self.version;
+            return (!is_repeated).then_some(ViewChange::DocumentIgnored {
+                version: document.version,
+                revision,
+                active_revision: self.document_revision,
+            });
         }
         self.document_revision = revision;
         self.version = document.version;
@@ -300,7 +323,12 @@
         let warm_from = now + target.warmup;
         if let Some(record) = self.records.get_mut(&id) {
             if revision <= record.revision {
-                return None;
+                let is_repeated = record.target == target;
+                return (!is_repeated).then_some(ViewChange::ReportIgnored {
+                    id,
+                    revision,
+                    last_revision: record.revision,
+                });
             }
             if record.target.service != target.service {
                 if let Some(ids) = self.services.get_mut(&record.target.service) {
