--- a/crates/edge/tests/kit/instance.rs
+++ b/crates/edge/tests/kit/instance.rs
@@ -15,10 +15,19 @@
     settings_file: PathBuf,
 }
 
+fn settings_file(host: Ipv4Addr) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("edge-{host}.toml"))
+}
+
+/// Removes the log of an earlier test run with the same addresses.
+pub fn remove_log(host: Ipv4Addr) {
+    // There is none in most cases.
+    let _ = std::fs::remove_file(settings_file(host).with_extension("log"));
+}
+
 impl Instance {
     pub fn start(host: Ipv4Addr, seeds: &[Ipv4Addr], store: SocketAddr, link_mbps: u32) -> Self {
-        let settings_file =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("edge-{host}.toml"));
+        let settings_file = settings_file(host);
         std::fs::write(&settings_file, settings_text(host, seeds, store, link_mbps)).unwrap();
         // The log is kept after the test, so that failures can be analyzed.
         let log = File::options()
--- a/crates/edge/tests/kit/mod.rs
+++ b/crates/edge/tests/kit/mod.rs
@@ -30,6 +30,9 @@
 pub const LINK_MBPS: u32 = 1_000;
 const TARGET_PORT: u16 = 8_000;
 
+/// Last octet of the address of the first instance.
+const INSTANCE_OCTET: u8 = 10;
+
 /// Entry of the default route.
 pub const ENTRY: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8_443);
 
@@ -48,6 +51,9 @@
     pub async fn new(target_count: u8) -> Self {
         let process_octet = (std::process::id() % 250) as u8 + 2;
         let prefix = [process_octet, NEXT_NETWORK.fetch_add(1, Ordering::Relaxed)];
+        for last in INSTANCE_OCTET..=u8::MAX {
+            instance::remove_log(loopback_host(prefix, last));
+        }
         let store = Store::start(SocketAddr::from((loopback_host(prefix, 1), STORE_PORT))).await;
         let caller = Caller::bind(SocketAddrV4::new(loopback_host(prefix, 100), PACKET_PORT)).await;
         let mut net = Self {
@@ -72,7 +78,7 @@
     }
 
     pub fn instance_host(&self, index: u8) -> Ipv4Addr {
-        loopback_host(self.prefix, 10 + index)
+        loopback_host(self.prefix, INSTANCE_OCTET + index)
     }
 
     /// Returns an address for a further caller.
--- a/crates/edge/tests/kit/store.rs
+++ b/crates/edge/tests/kit/store.rs
@@ -7,7 +7,8 @@
 
 use axum::Router;
 use axum::extract::{Query, State};
-use axum::http::StatusCode;
+use axum::http::{HeaderValue, StatusCode};
+use axum::middleware::map_response_with_state;
 use axum::response::{IntoResponse, Json, Response};
 use axum::routing::get;
 use base64::Engine;
@@ -27,6 +28,7 @@
 
 #[derive(Debug)]
 struct StoreState {
+    epoch: u64,
     revision: u64,
     compacted_revision: u64,
     items: BTreeMap<String, Value>,
@@ -36,6 +38,14 @@
     items_per_page: usize,
 }
 
+/// Everything that the store held at one moment.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Value>,
+    history: Vec<Value>,
+}
+
 #[derive(Debug, Clone)]
 pub struct Store {
     pub address: SocketAddr,
@@ -48,6 +58,7 @@
         let store = Self {
             address,
             state: Arc::new(Mutex::new(StoreState {
+                epoch: 1,
                 revision: 1,
                 compacted_revision: 0,
                 items: BTreeMap::new(),
@@ -62,6 +73,7 @@
         let router = Router::new()
             .route("/v1/kv-range", get(range))
             .route("/v1/kv-watch", get(watch))
+            .layer(map_response_with_state(store.clone(), add_epoch))
             .with_state(store.clone());
         tokio::spawn(async move { axum::serve(listener, router).await });
         store
@@ -107,6 +119,26 @@
         self.changed.notify_waiters();
     }
 
+    pub fn copy(&self) -> Copy {
+        let state = self.state.lock().unwrap();
+        Copy {
+            revision: state.revision,
+            items: state.items.clone(),
+            history: state.history.clone(),
+        }
+    }
+
+    /// Replaces everything by a copy, and with it the revision.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.state.lock().unwrap();
+        state.epoch += 1;
+        state.revision = copy.revision;
+        state.items.clone_from(&copy.items);
+        state.history.clone_from(&copy.history);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         self.state.lock().unwrap().mode = mode;
         self.changed.notify_waiters();
@@ -124,6 +156,14 @@
     }
 }
 
+async fn add_epoch(State(store): State<Store>, mut response: Response) -> Response {
+    let epoch = store.state.lock().unwrap().epoch;
+    response
+        .headers_mut()
+        .insert("Store-Era", HeaderValue::from(epoch));
+    response
+}
+
 async fn reject(mode: Mode) -> Response {
     if mode == Mode::Unresponsive {
         std::future::pending::<()>().await;
@@ -174,7 +214,7 @@
         {
             let state = store.state.lock().unwrap();
             if state.mode == Mode::Up {
-                if after < state.compacted_revision {
+                if after < state.compacted_revision || after > state.revision {
                     return StatusCode::GONE.into_response();
                 }
                 let events: Vec<&Value> = state
--- a/crates/edge/tests/kit/target.rs
+++ b/crates/edge/tests/kit/target.rs
@@ -51,6 +51,11 @@
     }
 
     pub fn store_record(&self, state: &str) -> Value {
+        self.numbered_store_record(state, 1)
+    }
+
+    /// Returns the report with a number that the target raises with each report.
+    pub fn numbered_store_record(&self, state: &str, number: u64) -> Value {
         json!({
             "service": "rates",
             "addr": self.address.to_string(),
@@ -59,7 +64,7 @@
             "max-concurrent": 2,
             "state": state,
             "warmup-left-ms": 0,
-            "seq": 1,
+            "seq": number,
             "born": 1_700_000_000_000_u64,
         })
     }
