Order revisions by the epoch of the store, and items of a copy by themselves

A target could get new flows after its drain in the same way.

Cause: numbers that a store gives out were compared across a restore, as if they formed one history. The view refused a document at or below the revision of the one in force, followers refused the complete view and the changes of their peer, and a watch or the last page of a reading skipped what was written under numbers that had been passed before. Class of fault: a logical clock is compared outside the history that it counts.

Ruled out as sufficient: dropping the comparison for documents alone, since targets, followers and skipped changes fail on their own tests.

Change: Revision has an epoch, which is read from the store and compared first everywhere. A watch is continued only in its epoch, a reading has pages of one epoch. Since a copy holds items that had been replaced or removed, the new Catalog orders these by what they say themselves: a configuration by its version, a report by the start of its process and its number. Items removed by a restore lapse like those of a failed store.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use serde_json::Value;
+use steer::Revision;
 
 use crate::read_file;
 use crate::report::{Error, ExitStatus, Report, Result};
@@ -18,7 +19,7 @@
 struct LogLine {
     /// Revision of the view that the instance had. All instances share revisions, so they order
     /// lines of instances whose clocks differ.
-    revision: u64,
+    revision: Revision,
     time: String,
     value: Value,
 }
@@ -69,15 +70,19 @@
 /// Parses the lines of one file. Skips a prefix before the JSON object, which log collectors add,
 /// and lines that are not JSON.
 fn parse_lines(text: &str) -> Vec<LogLine> {
-    let mut revisions: BTreeMap<String, u64> = BTreeMap::new();
+    let mut revisions: BTreeMap<String, Revision> = BTreeMap::new();
     text.lines()
         .filter_map(|line| serde_json::from_str(&line[line.find('{')?..]).ok())
         .map(|value: Value| {
             let revision = revisions
                 .entry(string_field(&value, "instance"))
                 .or_default();
-            if let Some(reported) = value["revision"].as_u64() {
-                *revision = reported;
+            // Daemons that do not know the epoch write none.
+            if let Some(epoch) = value["epoch"].as_u64() {
+                revision.epoch = epoch;
+            }
+            if let Some(number) = value["revision"].as_u64() {
+                revision.number = number;
             }
             LogLine {
                 revision: *revision,
@@ -121,7 +126,9 @@
         string_field(&line.value, "instance"),
         string_field(&line.value, "msg"),
     );
-    let known = ["ts", "level", "msg", "instance", "domain", "revision"];
+    let known = [
+        "ts", "level", "msg", "instance", "domain", "epoch", "revision",
+    ];
     let fields = line.value.as_object().into_iter().flatten();
     for (name, value) in fields.filter(|(name, _)| !known.contains(&name.as_str())) {
         let value = value
--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -7,11 +7,12 @@
 use platform::Error;
 use rand::Rng;
 use slog::info;
-use steer::Update;
 use steer::store_turn::{first_turn, retry_turn};
+use steer::{Revision, Update};
 use tokio::time::Instant;
 use wire::steering::ViewPart;
 
+use crate::log_fields::AtRevision;
 use crate::peer::{self, FollowError, ViewStream};
 use crate::relay::{self, HEARTBEAT_INTERVAL, lock};
 use crate::view_reader::{
@@ -45,7 +46,7 @@
         let requests = self.context.relay.open_upstream(self.known_revision());
         let mut stream = ViewStream::open(peer, requests).await?;
         info!(self.log, "peer followed"; "step" => "follow", "peer" => %peer,
-            "revision" => self.known_revision());
+            AtRevision(self.known_revision()));
         let mut has_joined = self.revision.is_none();
         let mut store_call_at: Option<Instant> = None;
         loop {
@@ -73,7 +74,7 @@
             }
             if !is_current && store_call_at.is_none() {
                 info!(self.log, "peer lost its source"; "step" => "follow", "peer" => %peer,
-                    "revision" => self.known_revision());
+                    AtRevision(self.known_revision()));
                 self.context.relay.set_current(false);
                 store_call_at = Some(Instant::now() + self.first_turn());
             }
@@ -128,14 +129,14 @@
             Ok(changes) => {
                 self.note_source_answered();
                 self.count_call("watch");
-                self.note_epoch(changes.epoch);
+                self.note_epoch(changes.revision.epoch);
                 self.log_value_errors(&changes.value_errors);
                 self.apply_changes(changes.revision, changes.updates);
                 true
             }
-            Err(Error::Compacted { peer, epoch }) => {
+            Err(Error::HistoryGone { peer, epoch }) => {
                 self.note_source_answered();
-                self.note_compacted(&peer, epoch);
+                self.note_history_gone(&peer, epoch);
                 true
             }
             Err(error) => {
@@ -145,33 +146,40 @@
         }
     }
 
-    /// Returns the revision from which a peer has to send changes, or 0 to get a complete view.
-    fn known_revision(&self) -> u64 {
-        self.revision.filter(|_| !self.needs_snapshot).unwrap_or(0)
+    /// Returns the revision from which a peer has to send changes, or the default to get a complete
+    /// view.
+    pub(crate) fn known_revision(&self) -> Revision {
+        let known = self.revision.filter(|_| !self.needs_snapshot);
+        known.unwrap_or_default()
     }
 
     /// Applies a part of a peer's view.
     async fn receive_part(&mut self, part: ViewPart) -> Result<(), FollowError> {
         let updates = relay::decode(&part).map_err(FollowError::failed)?;
         self.context.relay.receive_from_upstream(&part.evidence);
+        let revision = relay::revision(&part);
         if part.is_complete {
-            return self.receive_snapshot(part.revision, updates).await;
+            return self.receive_snapshot(revision, updates).await;
+        }
+        // After a restore, changes apply only on top of the peer's complete view.
+        if revision.epoch == self.revision.unwrap_or_default().epoch {
+            self.apply_changes(revision, updates);
         }
-        self.apply_changes(part.revision, updates);
         Ok(())
     }
 
     /// Applies the complete view of a peer, unless this instance knows a newer revision.
     async fn receive_snapshot(
         &mut self,
-        mut revision: u64,
+        mut revision: Revision,
         mut updates: Vec<Update>,
     ) -> Result<(), FollowError> {
         match self.revision {
             // The peer will either catch up or report that its own source does not answer.
             Some(known) if revision < known && !self.needs_snapshot => {
                 info!(self.log, "older view of peer ignored"; "step" => "follow",
-                    "peer_revision" => revision, "revision" => known);
+                    "peer_epoch" => revision.epoch, "peer_revision" => revision.number,
+                    AtRevision(known));
                 return Ok(());
             }
             Some(known) if revision < known => {
@@ -181,7 +189,7 @@
             // again. Without the store, the view of the peer is the best one there is.
             None if Some(revision) < self.partial.revision => {
                 let result = self.catch_up(&mut revision, &mut updates).await;
-                if let Err(Error::Compacted { .. }) = result {
+                if let Err(Error::HistoryGone { .. }) = result {
                     return Err(FollowError::failed("the view of the peer is too old"));
                 }
             }
@@ -189,6 +197,7 @@
         }
         self.needs_snapshot = false;
         self.partial = PartialSnapshot::default();
+        self.note_epoch(revision.epoch);
         self.apply_snapshot(revision, updates);
         Ok(())
     }
@@ -206,7 +215,7 @@
             lock(&self.context.peers).suspend(self.context.clock.now(), peer);
         } else if self.revision > previous_revision {
             info!(self.log, "view taken from peer"; "step" => "follow", "peer" => %peer,
-                "revision" => self.revision);
+                AtRevision(self.known_revision()));
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod follower;
 mod http;
 mod line_limiter;
+mod log_fields;
 mod metrics;
 mod packets;
 mod peer;
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -237,7 +237,7 @@
         self.metrics.flows.set(self.steer.flow_count() as i64);
         self.metrics
             .view_revision
-            .set(self.steer.view().revision() as i64);
+            .set(self.steer.view().revision().number as i64);
         self.metrics
             .view_age_ms
             .set(self.view_confirmed_at.elapsed().as_millis() as i64);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use ids::Millis;
 use slog::{Logger, debug};
-use steer::{Peer, Peers};
+use steer::{Peer, Peers, Revision};
 use tokio::sync::mpsc;
 use tokio_stream::Stream;
 use tokio_stream::wrappers::ReceiverStream;
@@ -162,6 +162,15 @@
     }
 }
 
+/// Returns the first request to a peer, with the revision to start from.
+pub fn follow_request(revision: Revision) -> FollowRequest {
+    FollowRequest {
+        epoch: revision.epoch,
+        revision: revision.number,
+        ..FollowRequest::default()
+    }
+}
+
 async fn request_parts<S>(
     address: SocketAddr,
     requests: S,
@@ -189,11 +198,10 @@
     }
 
     /// Requests only the first part of a peer's view, without becoming a follower.
-    pub async fn fetch_once(address: SocketAddr, revision: u64) -> Result<Self, FollowError> {
+    pub async fn fetch_once(address: SocketAddr, revision: Revision) -> Result<Self, FollowError> {
         let request = FollowRequest {
-            revision,
             is_once: true,
-            ..FollowRequest::default()
+            ..follow_request(revision)
         };
         Self::open_with(address, tokio_stream::once(request)).await
     }
--- a/crates/edge/src/recorder.rs
+++ b/crates/edge/src/recorder.rs
@@ -7,6 +7,7 @@
 use steer::{DropReason, FlowId, Note, ResetReason, View};
 
 use crate::line_limiter::LineLimiter;
+use crate::log_fields::AtRevision;
 use crate::metrics::Metrics;
 
 /// Maximum number of log lines per second for flows without incidents. At 300 bytes per line they
@@ -61,7 +62,7 @@
                 if should_log {
                     info!(self.log, "flow placed"; "flow" => %flow, "target" => %target,
                         "remote" => is_remote, "waiting" => pending_requests, "tried" => tried,
-                        "document" => view.version(), "revision" => view.revision());
+                        "document" => view.version(), AtRevision(view.revision()));
                 }
             }
             Note::Opened {
@@ -95,7 +96,7 @@
                     .inc();
                 if self.unusual_limiter.try_take(now) {
                     info!(self.log, "packet dropped"; "flow" => %flow, "reason" => label,
-                        "token" => token.0, "revision" => view.revision());
+                        "token" => token.0, AtRevision(view.revision()));
                 }
             }
             Note::Unanswered {
@@ -147,7 +148,7 @@
         self.metrics.flows_reset.with_label_values(&[label]).inc();
         if self.unusual_limiter.try_take(now) {
             info!(self.log, "flow reset"; "flow" => %flow, "reason" => label,
-                "document" => view.version(), "revision" => view.revision());
+                "document" => view.version(), AtRevision(view.revision()));
         }
     }
 
@@ -156,29 +157,11 @@
             ViewChange::DocumentActivated { version, routes } => {
                 self.metrics.document_version.set(version as i64);
                 info!(self.log, "configuration in force"; "version" => version,
-                    "routes" => routes, "revision" => view.revision());
-            }
-            ViewChange::DocumentIgnored {
-                version,
-                revision,
-                active_revision,
-            } => {
-                info!(self.log, "configuration ignored"; "version" => version,
-                    "item_revision" => revision, "document" => view.version(),
-                    "document_revision" => active_revision, "revision" => view.revision());
-            }
-            ViewChange::ReportIgnored {
-                id,
-                revision,
-                last_revision,
-            } => {
-                info!(self.log, "report ignored"; "target" => %id,
-                    "item_revision" => revision, "last_revision" => last_revision,
-                    "revision" => view.revision());
+                    "routes" => routes, AtRevision(view.revision()));
             }
             ViewChange::Target { id, state } => {
                 info!(self.log, "target changed"; "target" => %id,
-                    "to" => chart::Label::name(state), "revision" => view.revision());
+                    "to" => chart::Label::name(state), AtRevision(view.revision()));
             }
         }
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -6,10 +6,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hashbrown::HashMap;
 use ids::Millis;
 use slog::{Logger, info, warn};
-use steer::{Change, Evidence, Peers, Target, TargetId, Update};
+use steer::{Applied, Catalog, Evidence, Peers, Revision, Update};
 use tokio::sync::{Notify, Semaphore, broadcast, mpsc};
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
@@ -35,10 +34,8 @@
 /// The published view as it was last sent to followers.
 #[derive(Debug, Default)]
 struct PublishedState {
-    revision: u64,
+    catalog: Catalog,
     is_current: bool,
-    document: Option<Update>,
-    targets: HashMap<TargetId, Update>,
 }
 
 /// Service that peers call. Clones share their state.
@@ -165,15 +162,12 @@
 
     /// Opens the request stream to an upstream peer. The first request holds the revision of this
     /// instance's view.
-    pub fn open_upstream(&self, revision: u64) -> mpsc::Receiver<FollowRequest> {
+    pub fn open_upstream(&self, revision: Revision) -> mpsc::Receiver<FollowRequest> {
         // A Tokio channel, because the stream of a `flume` receiver has a lifetime that the gRPC
         // client does not accept.
         let (queue, requests) = mpsc::channel(MAX_QUEUED_PARTS);
         // The queue is empty, so it has room for the request.
-        let _ = queue.try_send(FollowRequest {
-            revision,
-            ..FollowRequest::default()
-        });
+        let _ = queue.try_send(peer::follow_request(revision));
         *lock(&self.upstream) = Some(queue);
         requests
     }
@@ -183,31 +177,30 @@
         *lock(&self.upstream) = None;
     }
 
-    /// Publishes everything that the store holds at a revision.
-    pub fn publish_snapshot(&self, revision: u64, updates: &[Update]) {
+    /// Publishes everything that the store holds at a revision. Returns what applies to the view of
+    /// this instance as well.
+    pub fn publish_snapshot(&self, revision: Revision, updates: Vec<Update>) -> Applied {
         let mut published = lock(&self.published);
-        published.targets.clear();
-        for update in updates {
-            published.apply(update);
-        }
-        published.revision = revision;
-        let part = published.complete_part();
+        let now = self.clock.now();
+        let applied = published.catalog.apply_snapshot(now, revision, updates);
+        let part = published.part(true, &applied.updates);
         drop(published);
         self.send_encoded(part);
+        applied
     }
 
-    /// Publishes changes up to a revision.
-    pub fn publish_changes(&self, revision: u64, updates: &[Update]) {
+    /// Publishes changes up to a revision. Returns what applies to the view of this instance as
+    /// well.
+    pub fn publish_changes(&self, revision: Revision, changes: Vec<Update>) -> Applied {
         let mut published = lock(&self.published);
-        for update in updates {
-            published.apply(update);
-        }
-        published.revision = published.revision.max(revision);
-        let part = published.part(false, updates);
+        let now = self.clock.now();
+        let applied = published.catalog.apply_changes(now, revision, changes);
+        let part = published.part(false, &applied.updates);
         drop(published);
-        if !updates.is_empty() {
+        if !applied.updates.is_empty() {
             self.send_encoded(part);
         }
+        applied
     }
 
     /// Sets whether the source of this instance answers. If not, followers switch to another peer.
@@ -249,12 +242,12 @@
 
     /// Returns the first part for a follower whose view has the given revision, or `None` if this
     /// instance has no view yet.
-    fn first_part(&self, revision: u64) -> Result<Option<ViewPart>, Status> {
+    fn first_part(&self, revision: Revision) -> Result<Option<ViewPart>, Status> {
         let published = lock(&self.published);
-        if published.document.is_none() {
+        if published.catalog.is_empty() {
             return Ok(None);
         }
-        if revision == published.revision {
+        if revision == published.catalog.revision() {
             return Ok(Some(published.heartbeat_part()));
         }
         published
@@ -265,30 +258,11 @@
 }
 
 impl PublishedState {
-    /// Applies an update unless the item has a newer one: the pages of a snapshot may be newer than
-    /// its revision.
-    fn apply(&mut self, update: &Update) {
-        let is_newer =
-            |known: Option<&Update>| known.is_none_or(|known| update.revision >= known.revision);
-        match &update.change {
-            Change::Document(_) if is_newer(self.document.as_ref()) => {
-                self.document = Some(update.clone());
-            }
-            Change::Target(Target { id, .. }) | Change::TargetUnreadable(id)
-                if is_newer(self.targets.get(id)) =>
-            {
-                self.targets.insert(*id, update.clone());
-            }
-            Change::TargetGone(id) if is_newer(self.targets.get(id)) => {
-                self.targets.remove(id);
-            }
-            _ => {}
-        }
-    }
-
     fn heartbeat_part(&self) -> ViewPart {
+        let revision = self.catalog.revision();
         ViewPart {
-            revision: self.revision,
+            epoch: revision.epoch,
+            revision: revision.number,
             is_complete: false,
             is_current: self.is_current,
             updates: Vec::new(),
@@ -297,7 +271,7 @@
     }
 
     fn complete_part(&self) -> postcard::Result<ViewPart> {
-        let updates: Vec<&Update> = self.document.iter().chain(self.targets.values()).collect();
+        let updates: Vec<&Update> = self.catalog.items().collect();
         self.part(true, &updates)
     }
 
@@ -313,6 +287,14 @@
     }
 }
 
+/// Returns the revision up to which the view is complete after a part.
+pub fn revision(part: &ViewPart) -> Revision {
+    Revision {
+        epoch: part.epoch,
+        number: part.revision,
+    }
+}
+
 /// Decodes the updates of a part.
 pub fn decode(part: &ViewPart) -> Result<Vec<Update>, postcard::Error> {
     if part.updates.is_empty() {
@@ -358,7 +340,10 @@
         let live_parts = self.parts.subscribe();
         let mut requests = request.into_inner();
         let start = requests.message().await?.unwrap_or_default();
-        let first = self.first_part(start.revision)?;
+        let first = self.first_part(Revision {
+            epoch: start.epoch,
+            number: start.revision,
+        })?;
         if start.is_once {
             let part = first.ok_or_else(|| Status::failed_precondition("no view yet"))?;
             return Ok(Response::new(Box::pin(tokio_stream::once(Ok(part)))));
@@ -367,6 +352,7 @@
             return Err(Status::resource_exhausted("enough followers"));
         };
         info!(self.log, "follower joined"; "step" => "relay", "peer" => follower,
+            "epoch" => first.as_ref().map(|part| part.epoch),
             "revision" => first.as_ref().map(|part| part.revision),
             "complete" => first.as_ref().is_some_and(|part| part.is_complete));
         self.follower_joined.notify_one();
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -11,10 +11,11 @@
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
 use steer::status::CoreStatus;
-use steer::{Evidence, Peers, Update};
+use steer::{Change, Evidence, Peers, Revision, Update};
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::log_fields::AtRevision;
 use crate::metrics::Metrics;
 use crate::relay::{RelayService, lock};
 
@@ -57,14 +58,14 @@
     /// Everything published at a revision.
     Snapshot {
         /// The revision.
-        revision: u64,
+        revision: Revision,
         /// All items.
         updates: Vec<Update>,
     },
     /// Changes up to a revision.
     Changes {
         /// The revision.
-        revision: u64,
+        revision: Revision,
         /// The changes.
         updates: Vec<Update>,
     },
@@ -93,7 +94,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct PartialSnapshot {
     /// Revision up to which the pages are complete: the revision of the first page.
-    pub(crate) revision: Option<u64>,
+    pub(crate) revision: Option<Revision>,
     page_count: u32,
     updates: Vec<Update>,
     /// Key after which the next page starts, or `None` before the first and after the last one.
@@ -108,8 +109,8 @@
     metrics: Metrics,
     pub(crate) log: Logger,
     /// Revision of the view, or `None` before the first view.
-    pub(crate) revision: Option<u64>,
-    /// Epoch of the store's last response, or 0 before the first one.
+    pub(crate) revision: Option<Revision>,
+    /// Latest known epoch of the store, or 0 before its first response.
     epoch: u64,
     /// Whether the next read must be a complete snapshot.
     pub(crate) needs_snapshot: bool,
@@ -168,7 +169,7 @@
             };
             match result {
                 Ok(()) => {}
-                Err(Error::Compacted { peer, epoch }) => self.note_compacted(&peer, epoch),
+                Err(Error::HistoryGone { peer, epoch }) => self.note_history_gone(&peer, epoch),
                 Err(error) => {
                     self.note_store_failed(&error);
                     self.wait_after_failure().await;
@@ -236,9 +237,14 @@
             .store_call_seconds
             .observe(started_at.elapsed().as_secs_f64());
         self.count_call("page");
-        self.note_epoch(page.epoch);
+        self.note_epoch(page.revision.epoch);
         self.log_value_errors(&page.value_errors);
-        self.partial.revision.get_or_insert(page.revision);
+        let first_revision = *self.partial.revision.get_or_insert(page.revision);
+        if page.revision.epoch != first_revision.epoch {
+            // Changes since the first page can no longer be requested.
+            self.partial = PartialSnapshot::default();
+            return Ok(());
+        }
         self.partial.page_count += 1;
         self.partial.updates.extend(page.updates);
         self.partial.next_after = page.next_key;
@@ -256,8 +262,7 @@
             // The next watch hits the same failure, and its result is handled in `run`.
             let _ = self.catch_up(&mut revision, &mut updates).await;
         }
-        info!(self.log, "store read"; "step" => "store", "epoch" => self.epoch,
-            "revision" => revision, "items" => updates.len());
+        info!(self.log, "store read"; "step" => "store", AtRevision(revision), "items" => updates.len());
         self.needs_snapshot = false;
         self.note_source_answered();
         self.apply_snapshot(revision, updates);
@@ -268,7 +273,7 @@
     /// view of a peer that is behind, no flow is steered by an outdated configuration.
     pub(crate) async fn catch_up(
         &self,
-        revision: &mut u64,
+        revision: &mut Revision,
         updates: &mut Vec<Update>,
     ) -> platform::Result<()> {
         let timeout = self.answer_timeout();
@@ -288,13 +293,14 @@
             Err(error) => {
                 self.count_call("failed");
                 info!(self.log, "reading not caught up"; "step" => "store",
-                    "revision" => *revision, "reason" => %error);
+                    AtRevision(*revision),
+                    "reason" => %error);
                 Err(error)
             }
         }
     }
 
-    async fn watch(&mut self, after: u64) -> platform::Result<()> {
+    async fn watch(&mut self, after: Revision) -> platform::Result<()> {
         let timeout = self.answer_timeout();
         let call = self.context.store.watch(after, self.watch_wait(), timeout);
         let changes = tokio::select! {
@@ -308,7 +314,7 @@
         };
         self.note_source_answered();
         self.count_call("watch");
-        self.note_epoch(changes.epoch);
+        self.note_epoch(changes.revision.epoch);
         self.log_value_errors(&changes.value_errors);
         let has_changes = !changes.updates.is_empty();
         self.apply_changes(changes.revision, changes.updates);
@@ -331,28 +337,38 @@
         IDLE_WATCH_WAIT
     }
 
-    pub(crate) fn apply_snapshot(&mut self, revision: u64, updates: Vec<Update>) {
+    pub(crate) fn apply_snapshot(&mut self, revision: Revision, updates: Vec<Update>) {
         self.revision = Some(revision);
-        self.context.relay.publish_snapshot(revision, &updates);
+        let applied = self.context.relay.publish_snapshot(revision, updates);
+        self.log_outdated(revision, &applied.outdated);
+        let updates = applied.updates;
         self.send(LoopEvent::Snapshot { revision, updates });
     }
 
-    /// Applies changes up to a revision. A peer that is behind repeats changes that are included in
-    /// this view already; a target that was removed since must not come back.
-    pub(crate) fn apply_changes(&mut self, revision: u64, mut updates: Vec<Update>) {
-        let known_revision = self.revision.unwrap_or(0);
-        let received_count = updates.len();
-        updates.retain(|update| update.revision > known_revision);
-        if updates.len() < received_count {
-            info!(self.log, "repeated changes ignored"; "step" => "follow",
-                "count" => received_count - updates.len(), "revision" => known_revision);
-        }
+    /// Applies changes up to a revision.
+    pub(crate) fn apply_changes(&mut self, revision: Revision, changes: Vec<Update>) {
+        let known_revision = self.revision.unwrap_or_default();
         let revision = revision.max(known_revision);
         self.revision = Some(revision);
-        self.context.relay.publish_changes(revision, &updates);
+        let applied = self.context.relay.publish_changes(revision, changes);
+        self.log_outdated(known_revision, &applied.outdated);
+        let updates = applied.updates;
         self.send(LoopEvent::Changes { revision, updates });
     }
 
+    fn log_outdated(&self, known_revision: Revision, outdated: &[Update]) {
+        for update in outdated {
+            let (item, version) = match &update.change {
+                Change::Document(document) => ("configuration".to_owned(), Some(document.version)),
+                Change::Target(target) => (target.id.to_string(), None),
+                Change::TargetGone(id) | Change::TargetUnreadable(id) => (id.to_string(), None),
+            };
+            info!(self.log, "outdated item ignored"; "step" => "store", "item" => item,
+                "version" => version, "item_revision" => %update.revision,
+                AtRevision(known_revision));
+        }
+    }
+
     fn send(&self, event: LoopEvent) {
         // The queue is unbounded and closes only when the process ends.
         let _ = self.events.send(event);
@@ -379,21 +395,24 @@
         }
     }
 
-    pub(crate) fn note_compacted(&mut self, peer: &str, epoch: u64) {
+    pub(crate) fn note_history_gone(&mut self, peer: &str, epoch: u64) {
         self.count_call("compacted");
         info!(self.log, "history is gone, reading again"; "step" => "store",
-            "peer" => peer, "epoch" => epoch, "revision" => self.revision);
+            "peer" => peer, "store_epoch" => epoch, AtRevision(self.known_revision()));
         self.note_epoch(epoch);
         self.needs_snapshot = true;
     }
 
-    /// Records the epoch of a response of the store.
+    /// Records the epoch of the store as a response or a peer shows it.
     pub(crate) fn note_epoch(&mut self, epoch: u64) {
+        if epoch <= self.epoch {
+            return;
+        }
         let previous_epoch = std::mem::replace(&mut self.epoch, epoch);
         self.metrics.store_epoch.set(epoch as i64);
-        if previous_epoch != 0 && previous_epoch != epoch {
+        if previous_epoch != 0 {
             warn!(self.log, "store restored"; "step" => "store", "from_epoch" => previous_epoch,
-                "epoch" => epoch, "revision" => self.revision);
+                "store_epoch" => epoch);
         }
     }
 
--- a/crates/edge/tests/outdated_peer.rs
+++ b/crates/edge/tests/outdated_peer.rs
@@ -12,7 +12,7 @@
 use kit::proxy::{Impairment, Proxy};
 use kit::target::Target;
 use kit::{ENTRY, LINK_MBPS, PEER_PORT, TestNetwork, wait_until};
-use steer::{Change, Document, Repeat, Route, Share, TargetId, Update};
+use steer::{Change, Document, Repeat, Revision, Route, Share, TargetId, Update};
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::{Relay, RelayServer};
@@ -25,6 +25,9 @@
     )*};
 }
 
+/// Epoch of the store, which is never restored.
+const EPOCH: u64 = 1;
+
 /// A peer that every instance prefers and that sends the same parts to each follower.
 #[derive(Debug)]
 struct OutdatedPeer {
@@ -63,8 +66,16 @@
     tokio::spawn(server.serve(SocketAddr::from((host, PEER_PORT))));
 }
 
+fn at(number: u64) -> Revision {
+    Revision {
+        epoch: EPOCH,
+        number,
+    }
+}
+
 fn part(revision: u64, is_complete: bool, updates: &[Update]) -> ViewPart {
     ViewPart {
+        epoch: EPOCH,
         revision,
         is_complete,
         is_current: true,
@@ -75,7 +86,7 @@
 
 fn document(entry: SocketAddrV4) -> Update {
     Update {
-        revision: 2,
+        revision: at(2),
         change: Change::Document(Document {
             version: 1,
             routes: vec![Route {
@@ -93,7 +104,7 @@
 
 fn ready_report(revision: u64, target: &Target) -> Update {
     Update {
-        revision,
+        revision: at(revision),
         change: Change::Target(steer::Target {
             id: TargetId(target.id),
             service: "rates".into(),
@@ -103,6 +114,7 @@
             is_draining: false,
             warmup: Millis(0),
             incarnation: 1,
+            sequence: 1,
         }),
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,10 +7,11 @@
 //!
 //! A packet passes through the modules in this order: [`packet`], [`steer`], then `opening` with
 //! [`placement`] or `established` with [`flow`], and `passive_health` with [`evidence`]; the result
-//! is a [`verdict`]. [`model`], [`view`] and [`target_state`] hold the published state, [`peers`]
-//! decides which instance reads it from the store, [`store_turn`] decides when the others call it, and
+//! is a [`verdict`]. [`model`], [`catalog`], [`view`] and [`target_state`] hold the published
+//! state in the order of [`revision`], [`peers`] decides which instance reads it from the store, [`store_turn`] decides when the others call it, and
 //! [`status`] reports the state to operators.
 
+pub mod catalog;
 mod established;
 pub mod evidence;
 pub mod flow;
@@ -20,6 +21,7 @@
 mod passive_health;
 pub mod peers;
 pub mod placement;
+pub mod revision;
 pub mod settings;
 pub mod status;
 pub mod steer;
@@ -28,10 +30,12 @@
 pub mod verdict;
 pub mod view;
 
+pub use catalog::{Applied, Catalog};
 pub use evidence::{Evidence, Observation, UnansweredPacket};
 pub use model::{Change, Document, Repeat, Route, Share, Target, TargetId, Update};
 pub use packet::{FlowId, PacketKind, Segment, Token};
 pub use peers::{Peer, Peers};
+pub use revision::Revision;
 pub use settings::Settings;
 pub use steer::Steer;
 pub use target_state::TargetState;
--- a/crates/steer/src/model.rs
+++ b/crates/steer/src/model.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::packet::Token;
+use crate::revision::Revision;
 
 /// Seed that separates the hash for tokens from other uses of the hash.
 const TOKEN_SEED: u64 = 0x706f_6c6c_746f_6b65;
@@ -94,6 +95,8 @@
     /// Start time of the process. A changed value means that all earlier state of the target is
     /// lost.
     pub incarnation: u64,
+    /// Number of the report, which the process counts up.
+    pub sequence: u64,
 }
 
 /// A change of the published data.
@@ -113,7 +116,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// Store revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The change.
     pub change: Change,
 }
--- a/crates/steer/src/status.rs
+++ b/crates/steer/src/status.rs
@@ -28,7 +28,10 @@
 pub struct CoreStatus {
     /// Version of the active configuration.
     pub version: u64,
-    /// Revision of the view.
+    /// Epoch of the view's revision.
+    #[serde(default)]
+    pub epoch: u64,
+    /// Number of the view's revision.
     pub revision: u64,
     /// Flows in the table.
     pub flows: usize,
@@ -77,7 +80,8 @@
         targets.sort_unstable();
         CoreStatus {
             version: self.view().version(),
-            revision: self.view().revision(),
+            epoch: self.view().revision().epoch,
+            revision: self.view().revision().number,
             flows: self.flow_count(),
             targets,
         }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -10,6 +10,7 @@
 use crate::model::{TargetId, Update};
 use crate::packet::{FlowId, PacketKind, Segment};
 use crate::passive_health::Request;
+use crate::revision::Revision;
 use crate::settings::Settings;
 use crate::verdict::{Destination, Note, Verdict};
 use crate::view::View;
@@ -75,7 +76,7 @@
     }
 
     /// Applies a complete snapshot of the published data.
-    pub fn apply_snapshot(&mut self, now: Micros, revision: u64, updates: Vec<Update>) {
+    pub fn apply_snapshot(&mut self, now: Micros, revision: Revision, updates: Vec<Update>) {
         let lapse_grace = self.settings.lapse_grace;
         let view_changes = self
             .view
@@ -85,7 +86,7 @@
     }
 
     /// Applies changes up to a revision.
-    pub fn apply_changes(&mut self, now: Micros, revision: u64, updates: Vec<Update>) {
+    pub fn apply_changes(&mut self, now: Micros, revision: Revision, updates: Vec<Update>) {
         let lapse_grace = self.settings.lapse_grace;
         let view_changes = self.view.apply_changes(now, revision, updates, lapse_grace);
         self.notes
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -1,6 +1,7 @@
 //! The view: the active configuration and the targets, ordered by store revision.
 //!
-//! Revisions only increase, so a late or repeated response never reverts the view.
+//! Revisions only increase, so a late or repeated response never reverts the view. A configuration
+//! is ordered by its version instead, which keeps its order when the store is restored.
 
 use std::net::SocketAddrV4;
 
@@ -11,6 +12,7 @@
 use crate::evidence::{Responsiveness, StalledRequests};
 use crate::model::{Change, Document, Repeat, Route, Target, TargetId, Update};
 use crate::packet::{FlowId, Token};
+use crate::revision::Revision;
 use crate::target_state::{Chart, TargetEvent, TargetState, chart};
 
 /// Seed that separates the hash for traffic splitting from other uses of the hash.
@@ -22,7 +24,7 @@
     /// Last report of the target.
     pub target: Target,
     /// Store revision of the last report.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the target accepts new flows.
     pub state: TargetState,
     /// When the target entered this state.
@@ -30,8 +32,8 @@
     /// When the report disappeared.
     removed_at: Micros,
     /// Once the target is gone, the time from which its open flows count as dead. After a failure
-    /// of the store, the report of a live target may be read some time after the store has
-    /// recovered.
+    /// or a restore of the store, the report of a live target may be read some time after the store
+    /// has recovered.
     flows_end_at: Micros,
     /// End of the slow start after which the target is warm.
     pub warm_from: Micros,
@@ -84,8 +86,8 @@
 #[derive(Debug)]
 pub struct View {
     chart: Chart,
-    revision: u64,
-    document_revision: u64,
+    revision: Revision,
+    document_revision: Revision,
     version: u64,
     idle_timeout: Millis,
     routes: HashMap<SocketAddrV4, Route>,
@@ -104,24 +106,6 @@
         /// Number of routes.
         routes: usize,
     },
-    /// A configuration was ignored because it is older than the active one.
-    DocumentIgnored {
-        /// Version of the ignored configuration.
-        version: u64,
-        /// Its revision.
-        revision: u64,
-        /// Revision of the active configuration.
-        active_revision: u64,
-    },
-    /// A report was ignored because it is older than the last one of the target.
-    ReportIgnored {
-        /// The target.
-        id: TargetId,
-        /// Revision of the ignored report.
-        revision: u64,
-        /// Revision of the last report.
-        last_revision: u64,
-    },
     /// A target was added, changed or removed.
     Target {
         /// The target.
@@ -139,8 +123,8 @@
     pub fn new() -> chart::Result<Self> {
         Ok(Self {
             chart: chart()?,
-            revision: 0,
-            document_revision: 0,
+            revision: Revision::default(),
+            document_revision: Revision::default(),
             version: 0,
             idle_timeout: Millis(0),
             routes: HashMap::new(),
@@ -151,7 +135,7 @@
     }
 
     /// Returns the revision up to which the view is complete.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -230,7 +214,7 @@
     pub fn apply_snapshot(
         &mut self,
         now: Micros,
-        revision: u64,
+        revision: Revision,
         updates: Vec<Update>,
         lapse_grace: Millis,
     ) -> Vec<ViewChange> {
@@ -248,7 +232,7 @@
                 _ => false,
             })
         });
-        let mut changes = self.apply_changes(now, 0, updates, lapse_grace);
+        let mut changes = self.apply_changes(now, Revision::default(), updates, lapse_grace);
         for id in missing {
             changes.extend(self.remove(now, revision, id, lapse_grace));
         }
@@ -260,7 +244,7 @@
     pub fn apply_changes(
         &mut self,
         now: Micros,
-        revision: u64,
+        revision: Revision,
         updates: Vec<Update>,
         lapse_grace: Millis,
     ) -> Vec<ViewChange> {
@@ -288,14 +272,9 @@
         }
     }
 
-    fn activate_document(&mut self, revision: u64, document: Document) -> Option<ViewChange> {
-        if revision <= self.document_revision || document.version < self.version {
-            let is_repeated = document.version == self.version;
-            return (!is_repeated).then_some(ViewChange::DocumentIgnored {
-                version: document.version,
-                revision,
-                active_revision: self.document_revision,
-            });
+    fn activate_document(&mut self, revision: Revision, document: Document) -> Option<ViewChange> {
+        if (document.version, revision) <= (self.version, self.document_revision) {
+            return None;
         }
         self.document_revision = revision;
         self.version = document.version;
@@ -313,7 +292,7 @@
         })
     }
 
-    fn insert(&mut self, now: Micros, revision: u64, target: Target) -> Option<ViewChange> {
+    fn insert(&mut self, now: Micros, revision: Revision, target: Target) -> Option<ViewChange> {
         let id = target.id;
         let input = if target.is_draining {
             TargetEvent::Drain
@@ -323,12 +302,7 @@
         let warm_from = now + target.warmup;
         if let Some(record) = self.records.get_mut(&id) {
             if revision <= record.revision {
-                let is_repeated = record.target == target;
-                return (!is_repeated).then_some(ViewChange::ReportIgnored {
-                    id,
-                    revision,
-                    last_revision: record.revision,
-                });
+                return None;
             }
             if record.target.service != target.service {
                 if let Some(ids) = self.services.get_mut(&record.target.service) {
@@ -378,7 +352,7 @@
     fn remove(
         &mut self,
         now: Micros,
-        revision: u64,
+        revision: Revision,
         id: TargetId,
         lapse_grace: Millis,
     ) -> Option<ViewChange> {
@@ -386,12 +360,15 @@
         if revision < record.revision {
             return None;
         }
+        let is_restored = revision.epoch > record.revision.epoch;
         record.revision = revision;
         let change = record.apply_event(&self.chart, now, TargetEvent::Removed)?;
         record.removed_at = now;
-        record.flows_end_at = match record.state {
-            TargetState::Lapsed => now + lapse_grace + lapse_grace,
-            _ => now,
+        let may_return = is_restored || record.state == TargetState::Lapsed;
+        record.flows_end_at = if may_return {
+            now + lapse_grace + lapse_grace
+        } else {
+            now
         };
         Some(change)
     }
--- a/crates/steer/tests/kit/mod.rs
+++ b/crates/steer/tests/kit/mod.rs
@@ -7,8 +7,8 @@
 
 use ids::{Micros, Millis};
 use steer::{
-    Change, Destination, Document, FlowId, PacketKind, Repeat, Resend, Route, Segment, Settings,
-    Share, Steer, Target, TargetId, Token, Update, Verdict,
+    Change, Destination, Document, FlowId, PacketKind, Repeat, Resend, Revision, Route, Segment,
+    Settings, Share, Steer, Target, TargetId, Token, Update, Verdict,
 };
 
 /// Entry of the idempotent route of `rates`.
@@ -55,6 +55,7 @@
         is_draining: false,
         warmup: Millis(0),
         incarnation: 1,
+        sequence: 1,
     }
 }
 
@@ -62,7 +63,7 @@
 pub struct TestInstance {
     pub steer: Steer,
     pub now: Micros,
-    revision: u64,
+    revision: Revision,
     next_port: u16,
 }
 
@@ -91,7 +92,7 @@
         Self {
             steer: Steer::new(settings, 1).unwrap(),
             now: Micros(1_000_000),
-            revision: 0,
+            revision: Revision::default(),
             next_port: 1_024,
         }
     }
@@ -100,7 +101,7 @@
         let updates: Vec<Update> = changes
             .into_iter()
             .map(|change| {
-                self.revision += 1;
+                self.revision.number += 1;
                 Update {
                     revision: self.revision,
                     change,
