Take newer items than a restored store holds from the followed peer

What callers saw: an instance that starts after a restore reads the copy. Until operators and targets have written again, it refuses a route that the others serve, gives new flows to a target that drains, and to one that has left.

Cause: a follower at the revision of its peer gets no complete view, on the assumption that one revision means one content. After a restore the peers remember newer items, so it does not.

Change: the first request of a follower carries a digest of its items, and the peer sends its complete view unless revision and digest agree. At one revision a report with a higher number wins.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -220,7 +220,8 @@
     }
 
     async fn fetch_view_from(&mut self, peer: SocketAddr) -> Result<(), FollowError> {
-        let mut stream = ViewStream::fetch_once(peer, self.known_revision()).await?;
+        let request = self.context.relay.first_request(self.known_revision());
+        let mut stream = ViewStream::fetch_once(peer, request).await?;
         let part = stream.next(MAX_PAGE_TIMEOUT).await?;
         let is_current = part.is_current;
         self.receive_part(part).await?;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use ids::Millis;
 use slog::{Logger, debug};
-use steer::{Peer, Peers, Revision};
+use steer::{Peer, Peers};
 use tokio::sync::{Notify, mpsc};
 use tokio_stream::Stream;
 use tokio_stream::wrappers::ReceiverStream;
@@ -165,15 +165,6 @@
     }
 }
 
-/// Returns the first request to a peer, with the revision to start from.
-pub fn follow_request(revision: Revision) -> FollowRequest {
-    FollowRequest {
-        epoch: revision.epoch,
-        revision: revision.number,
-        ..FollowRequest::default()
-    }
-}
-
 async fn request_parts<S>(
     address: SocketAddr,
     requests: S,
@@ -201,10 +192,13 @@
     }
 
     /// Requests only the first part of a peer's view, without becoming a follower.
-    pub async fn fetch_once(address: SocketAddr, revision: Revision) -> Result<Self, FollowError> {
+    pub async fn fetch_once(
+        address: SocketAddr,
+        request: FollowRequest,
+    ) -> Result<Self, FollowError> {
         let request = FollowRequest {
             is_once: true,
-            ..follow_request(revision)
+            ..request
         };
         Self::open_with(address, tokio_stream::once(request)).await
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -160,6 +160,16 @@
         new
     }
 
+    /// Returns the first request to a peer, with the view to start from.
+    pub fn first_request(&self, revision: Revision) -> FollowRequest {
+        FollowRequest {
+            epoch: revision.epoch,
+            revision: revision.number,
+            digest: lock(&self.published).catalog.digest(),
+            ..FollowRequest::default()
+        }
+    }
+
     /// Opens the request stream to an upstream peer. The first request holds the revision of this
     /// instance's view.
     pub fn open_upstream(&self, revision: Revision) -> mpsc::Receiver<FollowRequest> {
@@ -167,7 +177,7 @@
         // client does not accept.
         let (queue, requests) = mpsc::channel(MAX_QUEUED_PARTS);
         // The queue is empty, so it has room for the request.
-        let _ = queue.try_send(peer::follow_request(revision));
+        let _ = queue.try_send(self.first_request(revision));
         *lock(&self.upstream) = Some(queue);
         requests
     }
@@ -240,14 +250,19 @@
         let _ = self.parts.send(part);
     }
 
-    /// Returns the first part for a follower whose view has the given revision, or `None` if this
-    /// instance has no view yet.
-    fn first_part(&self, revision: Revision) -> Result<Option<ViewPart>, Status> {
+    /// Returns the first part for a follower, which is complete unless the follower has the same
+    /// view, or `None` if this instance has no view yet.
+    fn first_part(&self, request: &FollowRequest) -> Result<Option<ViewPart>, Status> {
         let published = lock(&self.published);
-        if published.catalog.is_empty() {
+        let catalog = &published.catalog;
+        if catalog.is_empty() {
             return Ok(None);
         }
-        if revision == published.catalog.revision() {
+        let revision = Revision {
+            epoch: request.epoch,
+            number: request.revision,
+        };
+        if revision == catalog.revision() && request.digest == catalog.digest() {
             return Ok(Some(published.heartbeat_part()));
         }
         published
@@ -340,10 +355,7 @@
         let live_parts = self.parts.subscribe();
         let mut requests = request.into_inner();
         let start = requests.message().await?.unwrap_or_default();
-        let first = self.first_part(Revision {
-            epoch: start.epoch,
-            number: start.revision,
-        })?;
+        let first = self.first_part(&start)?;
         if start.is_once {
             let part = first.ok_or_else(|| Status::failed_precondition("no view yet"))?;
             return Ok(Response::new(Box::pin(tokio_stream::once(Ok(part)))));
--- a/crates/steer/src/catalog.rs
+++ b/crates/steer/src/catalog.rs
@@ -8,11 +8,14 @@
 use std::cmp::Ordering;
 
 use hashbrown::HashMap;
-use ids::{Micros, Millis};
+use ids::{Micros, Millis, hash_of, hash_pair};
 
 use crate::model::{Change, Target, TargetId, Update};
 use crate::revision::Revision;
 
+/// Seed that separates the hash for digests from other uses of the hash.
+const DIGEST_SEED: u64 = 0x706f_6c6c_6469_6765;
+
 /// Time for which a removed report is remembered. A copy of the store is some seconds old, and the
 /// reports in it expire within seconds if their targets have left.
 const DEPARTURE_RETENTION: Millis = Millis(60_000);
@@ -61,6 +64,14 @@
         self.document.is_none()
     }
 
+    /// Returns a digest of the items. After a restore, instances at the same revision may know
+    /// different items, since some of them remember newer ones than the copy holds.
+    pub fn digest(&self) -> u64 {
+        self.items()
+            .map(item_hash)
+            .fold(0, |digest, hash| digest ^ hash)
+    }
+
     /// Returns all items, the configuration first.
     pub fn items(&self) -> impl Iterator<Item = &Update> {
         self.document.iter().chain(self.reports.values())
@@ -200,6 +211,22 @@
     }
 }
 
+/// Returns a hash of what decides about flows. The revision is left out, since it differs for items
+/// that were kept across a restore.
+fn item_hash(item: &Update) -> u64 {
+    let (kind, id, state) = match &item.change {
+        Change::Document(document) => (0, document.version, 0),
+        Change::Target(target) => (1, target.id.0, report_hash(target)),
+        Change::TargetUnreadable(id) => (2, id.0, 0),
+        Change::TargetGone(id) => (3, id.0, 0),
+    };
+    hash_pair(hash_of(DIGEST_SEED, &[kind]), hash_pair(id, state))
+}
+
+fn report_hash(target: &Target) -> u64 {
+    hash_pair(target.incarnation, u64::from(target.is_draining))
+}
+
 fn target_id(change: &Change) -> Option<TargetId> {
     match change {
         Change::Document(_) => None,
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -301,7 +301,17 @@
         };
         let warm_from = now + target.warmup;
         if let Some(record) = self.records.get_mut(&id) {
-            if revision <= record.revision {
+            // A peer that remembers a newer report than the copy of a restored store holds tells it
+            // under the same revision.
+            let order = (revision, target.incarnation, target.sequence);
+            let known_target = &record.target;
+            if order
+                <= (
+                    record.revision,
+                    known_target.incarnation,
+                    known_target.sequence,
+                )
+            {
                 return None;
             }
             if record.target.service != target.service {
--- a/crates/steer/tests/catalog.rs
+++ b/crates/steer/tests/catalog.rs
@@ -182,4 +182,25 @@
         catalog.apply_changes(NOW, at(1, 5), vec![report(at(1, 5), 2, false)]);
         assert_eq!(is_draining(&catalog), Some(true));
     }
+
+    instances_that_know_different_items_at_one_revision_have_different_digests => {
+        let mut remembering = new_catalog();
+        remembering.apply_changes(NOW, at(1, 4), vec![report(at(1, 4), 2, true)]);
+        restore(&mut remembering);
+        let mut started = Catalog::default();
+        restore(&mut started);
+        assert_eq!(remembering.revision(), started.revision());
+        assert_ne!(remembering.digest(), started.digest());
+        let items = remembering.items().cloned().collect();
+        started.apply_snapshot(NOW, remembering.revision(), items);
+        assert_eq!(remembering.digest(), started.digest());
+        assert_eq!(is_draining(&started), Some(true));
+    }
+
+    digest_ignores_when_an_item_was_written => {
+        let mut catalog = new_catalog();
+        let digest = catalog.digest();
+        catalog.apply_changes(NOW, at(1, 4), vec![report(at(1, 4), 2, false)]);
+        assert_eq!(catalog.digest(), digest);
+    }
 }
