Restore the store from a copy in the soak

The soak's store lost nothing, so no seed could show that changes are refused after a restore. Half of the seeds now restore it once, early in the run and beside the other faults, which stay as they were: the restore has a random source of its own.

Seed 501 becomes a regression case.

--- a/crates/edge/tests/kit/store.rs
+++ b/crates/edge/tests/kit/store.rs
@@ -33,6 +33,8 @@
     compacted_revision: u64,
     items: BTreeMap<String, Value>,
     history: Vec<Value>,
+    /// Last value that was written to each key.
+    written: BTreeMap<String, Vec<u8>>,
     mode: Mode,
     call_count: usize,
     items_per_page: usize,
@@ -63,6 +65,7 @@
                 compacted_revision: 0,
                 items: BTreeMap::new(),
                 history: Vec::new(),
+                written: BTreeMap::new(),
                 mode: Mode::Up,
                 call_count: 0,
                 items_per_page: 3,
@@ -85,6 +88,7 @@
 
     pub fn put_bytes(&self, key: &str, bytes: &[u8]) {
         let mut state = self.state.lock().unwrap();
+        state.written.insert(key.to_owned(), bytes.to_vec());
         state.revision += 1;
         let item = json!({
             "key": key,
@@ -101,6 +105,7 @@
 
     pub fn delete(&self, key: &str) {
         let mut state = self.state.lock().unwrap();
+        state.written.remove(key);
         state.revision += 1;
         state.items.remove(key);
         let event = json!({"key": key, "rev": state.revision, "deleted": true});
@@ -139,6 +144,24 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes again what a restore has lost, as operators and targets do.
+    pub fn write_again(&self) {
+        let state = self.state.lock().unwrap();
+        let (written, items) = (state.written.clone(), state.items.clone());
+        drop(state);
+        for key in items.keys().filter(|key| !written.contains_key(*key)) {
+            self.delete(key);
+        }
+        for (key, bytes) in &written {
+            let is_lost = items
+                .get(key)
+                .is_none_or(|item| item["value"] != STANDARD.encode(bytes));
+            if is_lost {
+                self.put_bytes(key, bytes);
+            }
+        }
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         self.state.lock().unwrap().mode = mode;
         self.changed.notify_waiters();
--- a/crates/edge/tests/soak.rs
+++ b/crates/edge/tests/soak.rs
@@ -14,7 +14,7 @@
 use kit::caller::{Caller, Outcome};
 use kit::instance::Instance;
 use kit::proxy::{Impairment, Proxy};
-use kit::store::Mode;
+use kit::store::{Copy, Mode};
 use kit::{ENTRY, LINK_MBPS, PACKET_PORT, PROXY_PORT, TestNetwork, document, wait_until};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -23,8 +23,9 @@
 
 /// Default seeds, kept as regression tests:
 /// 1: instances followed a reader whose watch had stopped responding before they joined;
-/// 14: a process exited when it received SIGHUP right after its start.
-const SEEDS: [u64; 2] = [1, 14];
+/// 14: a process exited when it received SIGHUP right after its start;
+/// 501: changes were refused after a restore of the store, which gave out their revisions again.
+const SEEDS: [u64; 3] = [1, 14, 501];
 
 /// Time in which a new process may not have installed its signal handlers. A signal then ends the
 /// process, and the platform restarts it.
@@ -34,6 +35,13 @@
 const TARGETS: u8 = 5;
 const CALLERS: u8 = 6;
 
+/// Changes that a restore of the store loses at least, more than are made in a run, so that all later
+/// ones have revisions that were given out before.
+const LOST_CHANGES: u32 = 100;
+
+/// Maximum time after a restore of the store until its writers have written again what it lost.
+const MAX_REWRITE_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Time without faults after which the guarantees with a time limit apply to a component.
 const STABILIZATION_TIME: Duration = Duration::from_secs(4);
 
@@ -90,6 +98,10 @@
     results: Arc<Mutex<CheckResults>>,
     checks: JoinSet<()>,
     random: SmallRng,
+    /// Decides about restores of the store, so that they do not change the other faults of a seed.
+    restore_random: SmallRng,
+    /// Copy of the store from before the start of the instances, if it will be restored.
+    copy: Option<Copy>,
     /// Entries of the latest configuration; each version adds one.
     entries: Vec<SocketAddrV4>,
     next_target: u8,
@@ -110,6 +122,10 @@
 impl Soak {
     async fn new(seed: u64) -> Self {
         let net = TestNetwork::new(TARGETS).await;
+        let copy = net.store.copy();
+        for _ in 0..LOST_CHANGES {
+            net.store.put("op/config", &document(1, &[ENTRY]));
+        }
         let mut proxies = Vec::new();
         for index in 0..INSTANCES {
             let address = SocketAddr::from((net.instance_host(index), PROXY_PORT));
@@ -125,7 +141,9 @@
                 .collect(),
             store: long_ago,
         };
+        let mut restore_random = SmallRng::seed_from_u64(!seed);
         let mut soak = Self {
+            copy: restore_random.random_bool(0.5).then_some(copy),
             net,
             proxies,
             instances: (0..INSTANCES).map(|_| None).collect(),
@@ -133,6 +151,7 @@
             results: Arc::default(),
             checks: JoinSet::new(),
             random: SmallRng::seed_from_u64(seed),
+            restore_random,
             entries: vec![ENTRY],
             next_target: TARGETS,
         };
@@ -238,9 +257,10 @@
             Fault::Drain(target) => {
                 let target = &self.net.targets[target];
                 target.mark_draining(Instant::now());
-                self.net
-                    .store
-                    .put(&target.store_key(), &target.store_record("draining"));
+                self.net.store.put(
+                    &target.store_key(),
+                    &target.numbered_store_record("draining", 2),
+                );
                 self.replace_target().await;
             }
         }
@@ -283,6 +303,18 @@
         }
     }
 
+    /// Restores the store from the copy. Its writers notice some time later.
+    fn restore_store(&mut self, copy: &Copy) {
+        self.net.store.restore(copy);
+        self.stability.lock().unwrap().store = Instant::now();
+        let store = self.net.store.clone();
+        let delay = MAX_REWRITE_DELAY.mul_f64(self.restore_random.random());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            store.write_again();
+        });
+    }
+
     /// Publishes a configuration with an additional entry, and checks after the change limit that
     /// stable instances serve it. Later configurations keep the entry.
     fn publish_change(&mut self) {
@@ -390,6 +422,9 @@
             ));
         }
         let run_until = Instant::now() + duration;
+        // Early, since changes are checked only some time after it.
+        let restore_at =
+            Instant::now() + duration.mul_f64(self.restore_random.random::<f64>() / 3.0);
         let mut running: Vec<(Instant, Fault)> = Vec::new();
         while Instant::now() < run_until {
             if running.len() < 3 && self.random.random_bool(0.25) {
@@ -417,6 +452,11 @@
             tokio::time::sleep(pause).await;
             self.check_drains();
             let now = Instant::now();
+            if now >= restore_at
+                && let Some(copy) = self.copy.take()
+            {
+                self.restore_store(&copy);
+            }
             let ended: Vec<Fault> = running
                 .extract_if(.., |(end, _)| *end <= now)
                 .map(|(_, fault)| fault)
