--- a/crates/edge/tests/outdated_peer.rs
+++ b/crates/edge/tests/outdated_peer.rs
@@ -74,9 +74,13 @@
 }
 
 fn part(revision: u64, is_complete: bool, updates: &[Update]) -> ViewPart {
+    part_at(at(revision), is_complete, updates)
+}
+
+fn part_at(revision: Revision, is_complete: bool, updates: &[Update]) -> ViewPart {
     ViewPart {
-        epoch: EPOCH,
-        revision,
+        epoch: revision.epoch,
+        revision: revision.number,
         is_complete,
         is_current: true,
         updates: postcard::to_allocvec(updates).unwrap(),
@@ -85,10 +89,14 @@
 }
 
 fn document(entry: SocketAddrV4) -> Update {
+    document_at(at(2), 1, entry)
+}
+
+fn document_at(revision: Revision, version: u64, entry: SocketAddrV4) -> Update {
     Update {
-        revision: at(2),
+        revision,
         change: Change::Document(Document {
-            version: 1,
+            version,
             routes: vec![Route {
                 entry,
                 shares: vec![Share {
@@ -176,4 +184,30 @@
         .await;
         assert!(!uses_target(&mut net, instance.packet_address(), 7).await);
     }
+
+    // A peer whose store was restored may send its revision before its complete view.
+    changes_of_another_epoch_do_not_hide_the_complete_view => {
+        let mut net = TestNetwork::new(1).await;
+        let new_entry = SocketAddrV4::new(*ENTRY.ip(), 9_443);
+        let restored = |number| Revision { epoch: EPOCH + 1, number };
+        let report = ready_report(3, &net.targets[0]);
+        let document = document_at(restored(2), 2, new_entry);
+        let parts = vec![
+            part(3, false, &[]),
+            part_at(restored(9), false, &[]),
+            part_at(restored(8), true, &[document, report]),
+        ];
+        start_peer(net.instance_host(1), parts);
+        let instance = net.start_ready(0).await;
+        wait_until("the instance follows", || async {
+            instance.log_contains("peer followed")
+        })
+        .await;
+        wait_until("the complete view is taken", || async {
+            instance.log_contains("store restored")
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(net.caller.open_flow_to(instance.packet_address(), new_entry).await.is_ok());
+    }
 }
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -141,6 +141,7 @@
             report(&net, 0, "ready", number);
         }
         wait_until("the instance is ready", || instance.is_ready()).await;
+        assert!(!instance.log_contains("reading not caught up"));
         proxy.set_impairment(Impairment::None);
         assert!(is_served_in_time(&mut net, instance.packet_address(), NEW_ENTRY).await);
     }
