Encode views for peers as earlier versions do

What callers would have seen: during an upgrade an instance that is cut off from the store, or starts while it is away, gets no view from peers of the other version, and does not serve or serves an older configuration.

Cause: the order by epoch had changed the encoding of items, and therefore the name of the service between peers.

Change: the epoch and the numbers of reports are fields beside the items, which are encoded as before. A peer that tells no epoch is taken to be in the known one. Ruled out: serving both forms, which would need every view twice.

The encoding and view_of_a_peer_that_tells_no_epoch_is_taken fail on the commit before.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -14,7 +14,8 @@
 
 use crate::log_fields::AtRevision;
 use crate::peer::{self, FollowError, ViewStream};
-use crate::relay::{self, HEARTBEAT_INTERVAL, lock};
+use crate::relay::{HEARTBEAT_INTERVAL, lock};
+use crate::view_part;
 use crate::view_reader::{
     MAX_PAGE_TIMEOUT, MAX_RETRY_PAUSE, PartialSnapshot, ReaderContext, ViewReader,
 };
@@ -155,9 +156,10 @@
 
     /// Applies a part of a peer's view.
     async fn receive_part(&mut self, part: ViewPart) -> Result<(), FollowError> {
-        let updates = relay::decode(&part).map_err(FollowError::failed)?;
+        let known_epoch = self.revision.map_or(self.epoch, |known| known.epoch);
+        let revision = view_part::revision(&part, known_epoch);
+        let updates = view_part::decode(&part, revision.epoch).map_err(FollowError::failed)?;
         self.context.relay.receive_from_upstream(&part.evidence);
-        let revision = relay::revision(&part);
         if part.is_complete {
             return self.receive_snapshot(revision, updates).await;
         }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::clock::Clock;
 use crate::evidence::EvidenceDeduplicator;
 use crate::view_reader::LoopEvent;
-use crate::{evidence, peer};
+use crate::{evidence, peer, view_part};
 
 /// Interval of parts that carry no changes. A follower gives up after three missing parts.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -193,7 +193,7 @@
         let mut published = lock(&self.published);
         let now = self.clock.now();
         let applied = published.catalog.apply_snapshot(now, revision, updates);
-        let part = published.part(true, &applied.updates);
+        let part = published.part(true, applied.updates.iter());
         drop(published);
         self.send_encoded(part);
         applied
@@ -205,7 +205,7 @@
         let mut published = lock(&self.published);
         let now = self.clock.now();
         let applied = published.catalog.apply_changes(now, revision, changes);
-        let part = published.part(false, &applied.updates);
+        let part = published.part(false, applied.updates.iter());
         drop(published);
         if !applied.updates.is_empty() {
             self.send_encoded(part);
@@ -254,15 +254,10 @@
     /// view, or `None` if this instance has no view yet.
     fn first_part(&self, request: &FollowRequest) -> Result<Option<ViewPart>, Status> {
         let published = lock(&self.published);
-        let catalog = &published.catalog;
-        if catalog.is_empty() {
+        if published.catalog.is_empty() {
             return Ok(None);
         }
-        let revision = Revision {
-            epoch: request.epoch,
-            number: request.revision,
-        };
-        if revision == catalog.revision() && request.digest == catalog.digest() {
+        if published.is_view_of(request) {
             return Ok(Some(published.heartbeat_part()));
         }
         published
@@ -280,42 +275,35 @@
             revision: revision.number,
             is_complete: false,
             is_current: self.is_current,
-            updates: Vec::new(),
-            evidence: Vec::new(),
+            ..ViewPart::default()
         }
     }
 
     fn complete_part(&self) -> postcard::Result<ViewPart> {
-        let updates: Vec<&Update> = self.catalog.items().collect();
-        self.part(true, &updates)
+        self.part(true, self.catalog.items())
     }
 
-    fn part<T>(&self, is_complete: bool, updates: &T) -> postcard::Result<ViewPart>
-    where
-        T: serde::Serialize + ?Sized,
-    {
-        Ok(ViewPart {
+    fn part<'a>(
+        &self,
+        is_complete: bool,
+        updates: impl Iterator<Item = &'a Update>,
+    ) -> postcard::Result<ViewPart> {
+        let updates: Vec<&Update> = updates.collect();
+        let part = ViewPart {
             is_complete,
-            updates: postcard::to_allocvec(updates)?,
             ..self.heartbeat_part()
-        })
-    }
-}
-
-/// Returns the revision up to which the view is complete after a part.
-pub fn revision(part: &ViewPart) -> Revision {
-    Revision {
-        epoch: part.epoch,
-        number: part.revision,
+        };
+        view_part::encode(part, &updates)
     }
-}
 
-/// Decodes the updates of a part.
-pub fn decode(part: &ViewPart) -> Result<Vec<Update>, postcard::Error> {
-    if part.updates.is_empty() {
-        return Ok(Vec::new());
+    /// Returns whether a follower has the view of this instance.
+    fn is_view_of(&self, request: &FollowRequest) -> bool {
+        let revision = self.catalog.revision();
+        // Earlier versions tell neither epoch nor digest.
+        let has_same_items = request.epoch == 0
+            || request.epoch == revision.epoch && request.digest == self.catalog.digest();
+        request.revision == revision.number && has_same_items
     }
-    postcard::from_bytes(&part.updates)
 }
 
 #[tonic::async_trait]
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -113,7 +113,7 @@
     /// Revision of the view, or `None` before the first view.
     pub(crate) revision: Option<Revision>,
     /// Latest known epoch of the store, or 0 before its first response.
-    epoch: u64,
+    pub(crate) epoch: u64,
     /// Whether the next read must be a complete snapshot.
     pub(crate) needs_snapshot: bool,
     /// Pages read so far; they are kept when a call fails.
--- a/crates/edge/tests/outdated_peer.rs
+++ b/crates/edge/tests/outdated_peer.rs
@@ -84,7 +84,7 @@
         is_complete,
         is_current: true,
         updates: postcard::to_allocvec(updates).unwrap(),
-        evidence: Vec::new(),
+        ..ViewPart::default()
     }
 }
 
@@ -210,4 +210,20 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert!(net.caller.open_flow_to(instance.packet_address(), new_entry).await.is_ok());
     }
+
+    // During an upgrade the peer may be of an earlier version, and the store may not answer.
+    view_of_a_peer_that_tells_no_epoch_is_taken => {
+        let mut net = TestNetwork::new(1).await;
+        let new_entry = SocketAddrV4::new(*ENTRY.ip(), 9_443);
+        let untold = |number| Revision { epoch: 0, number };
+        let report = ready_report(3, &net.targets[0]);
+        let document = document_at(untold(8), 2, new_entry);
+        start_peer(net.instance_host(1), vec![part_at(untold(8), true, &[document, report])]);
+        let instance = net.start_ready(0).await;
+        wait_until("the new entry is served", || async {
+            instance.metric_sum("document_version").await == 2.0
+        })
+        .await;
+        assert!(net.caller.open_flow_to(instance.packet_address(), new_entry).await.is_ok());
+    }
 }
--- a/crates/steer/src/model.rs
+++ b/crates/steer/src/model.rs
@@ -95,7 +95,8 @@
     /// Start time of the process. A changed value means that all earlier state of the target is
     /// lost.
     pub incarnation: u64,
-    /// Number of the report, which the process counts up.
+    /// Number of the report, which the process counts up. Peers tell it beside the encoded report.
+    #[serde(skip)]
     pub sequence: u64,
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 /// gRPC service between steering instances, generated from `proto/steering.proto`.
 #[allow(missing_docs, missing_debug_implementations, clippy::all)]
 #[rustfmt::skip]
-#[path = "generated/pollenpin.steering.v2.rs"]
+#[path = "generated/pollenpin.steering.v1.rs"]
 pub mod steering;
 pub mod token;
 
