--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,9 +7,9 @@
 //!
 //! A packet passes through the modules in this order: [`packet`], [`steer`], then `opening` with
 //! [`placement`] or `established` with [`flow`], and `passive_health` with [`evidence`]; the result
-//! is a [`verdict`]. [`model`], [`catalog`], [`view`] and [`target_state`] hold the published
-//! state in the order of [`revision`], [`peers`] decides which instance reads it from the store, [`store_turn`] decides when the others call it, and
-//! [`status`] reports the state to operators.
+//! is a [`verdict`]. [`model`], [`catalog`], [`view`] and [`target_state`] hold the published state
+//! in the order of [`revision`], [`peers`] decides which instance reads it from the store,
+//! [`store_turn`] decides when the others call it, and [`status`] reports the state to operators.
 
 pub mod catalog;
 mod established;
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -301,17 +301,7 @@
         };
         let warm_from = now + target.warmup;
         if let Some(record) = self.records.get_mut(&id) {
-            // A peer that remembers a newer report than the copy of a restored store holds tells it
-            // under the same revision.
-            let order = (revision, target.incarnation, target.sequence);
-            let known_target = &record.target;
-            if order
-                <= (
-                    record.revision,
-                    known_target.incarnation,
-                    known_target.sequence,
-                )
-            {
+            if report_order(revision, &target) <= report_order(record.revision, &record.target) {
                 return None;
             }
             if record.target.service != target.service {
@@ -436,3 +426,9 @@
             .is_some_and(|route| route.repeat == Repeat::Idempotent)
     }
 }
+
+/// Returns the position of a report. A peer that remembers a newer one than the copy of a restored
+/// store holds tells it under the same revision.
+fn report_order(revision: Revision, target: &Target) -> (Revision, u64, u64) {
+    (revision, target.incarnation, target.sequence)
+}
