--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -274,7 +274,8 @@
             // The next watch hits the same failure, and its result is handled in `run`.
             let _ = self.catch_up(&mut revision, &mut updates).await;
         }
-        info!(self.log, "store read"; "step" => "store", AtRevision(revision), "items" => updates.len());
+        info!(self.log, "store read"; "step" => "store", AtRevision(revision),
+            "items" => updates.len());
         self.needs_snapshot = false;
         self.note_source_answered();
         self.apply_snapshot(revision, updates);
@@ -305,8 +306,7 @@
             Err(error) => {
                 self.count_call("failed");
                 info!(self.log, "reading not caught up"; "step" => "store",
-                    AtRevision(*revision),
-                    "reason" => %error);
+                    AtRevision(*revision), "reason" => %error);
                 Err(error)
             }
         }
--- a/crates/edge/tests/kit/store.rs
+++ b/crates/edge/tests/kit/store.rs
@@ -42,7 +42,7 @@
 
 /// Everything that the store held at one moment.
 #[derive(Debug, Clone)]
-pub struct Copy {
+pub struct StoreCopy {
     revision: u64,
     items: BTreeMap<String, Value>,
     history: Vec<Value>,
@@ -124,9 +124,9 @@
         self.changed.notify_waiters();
     }
 
-    pub fn copy(&self) -> Copy {
+    pub fn copy(&self) -> StoreCopy {
         let state = self.state.lock().unwrap();
-        Copy {
+        StoreCopy {
             revision: state.revision,
             items: state.items.clone(),
             history: state.history.clone(),
@@ -134,7 +134,7 @@
     }
 
     /// Replaces everything by a copy, and with it the revision.
-    pub fn restore(&self, copy: &Copy) {
+    pub fn restore(&self, copy: &StoreCopy) {
         let mut state = self.state.lock().unwrap();
         state.epoch += 1;
         state.revision = copy.revision;
--- a/crates/edge/tests/soak.rs
+++ b/crates/edge/tests/soak.rs
@@ -14,7 +14,7 @@
 use kit::caller::{Caller, Outcome};
 use kit::instance::Instance;
 use kit::proxy::{Impairment, Proxy};
-use kit::store::{Copy, Mode};
+use kit::store::{Mode, StoreCopy};
 use kit::{ENTRY, LINK_MBPS, PACKET_PORT, PROXY_PORT, TestNetwork, document, wait_until};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -35,8 +35,8 @@
 const TARGETS: u8 = 5;
 const CALLERS: u8 = 6;
 
-/// Changes that a restore of the store loses at least, more than are made in a run, so that all later
-/// ones have revisions that were given out before.
+/// Minimum number of changes that a restore of the store loses. It is more than a run makes, so that
+/// all later changes have revisions that were given out before.
 const LOST_CHANGES: u32 = 100;
 
 /// Maximum time after a restore of the store until its writers have written again what it lost.
@@ -101,7 +101,7 @@
     /// Decides about restores of the store, so that they do not change the other faults of a seed.
     restore_random: SmallRng,
     /// Copy of the store from before the start of the instances, if it will be restored.
-    copy: Option<Copy>,
+    copy: Option<StoreCopy>,
     /// Entries of the latest configuration; each version adds one.
     entries: Vec<SocketAddrV4>,
     next_target: u8,
@@ -304,7 +304,7 @@
     }
 
     /// Restores the store from the copy. Its writers notice some time later.
-    fn restore_store(&mut self, copy: &Copy) {
+    fn restore_store(&mut self, copy: &StoreCopy) {
         self.net.store.restore(copy);
         self.stability.lock().unwrap().store = Instant::now();
         let store = self.net.store.clone();
