--- a/crates/edge/tests/kit/mod.rs
+++ b/crates/edge/tests/kit/mod.rs
@@ -17,6 +17,7 @@
 use caller::Caller;
 use instance::Instance;
 use serde_json::json;
+use steer::TargetId;
 use store::Store;
 use target::Target;
 
@@ -102,6 +103,18 @@
         Instance::start(self.instance_host(index), &seeds, store, link_mbps)
     }
 
+    /// Opens flows until every target of the view must have got some, and returns whether one of
+    /// them went to the given target.
+    pub async fn uses_target(&mut self, via: SocketAddrV4, target: usize) -> bool {
+        let token = TargetId(self.targets[target].id).token().0;
+        for _ in 0..6 * self.targets.len() {
+            if self.caller.open_flow(via).await.unwrap().token == token {
+                return true;
+            }
+        }
+        false
+    }
+
     pub async fn start_ready(&self, index: u8) -> Instance {
         let instance = self.start(index);
         wait_until("the instance is ready", || instance.is_ready()).await;
--- a/crates/edge/tests/outdated_peer.rs
+++ b/crates/edge/tests/outdated_peer.rs
@@ -127,18 +127,6 @@
     }
 }
 
-/// Opens flows until every target of the view must have got some, and returns whether one of them
-/// went to a target that has left.
-async fn uses_target(net: &mut TestNetwork, via: SocketAddrV4, target: usize) -> bool {
-    let token = TargetId(net.targets[target].id).token().0;
-    for _ in 0..6 * net.targets.len() {
-        if net.caller.open_flow(via).await.unwrap().token == token {
-            return true;
-        }
-    }
-    false
-}
-
 cases! {
     // The instance has read that a target has left, and then follows a peer that only now learns
     // of an earlier report of this target.
@@ -154,7 +142,7 @@
         })
         .await;
         tokio::time::sleep(Duration::from_millis(100)).await;
-        assert!(!uses_target(&mut net, instance.packet_address(), 1).await);
+        assert!(!net.uses_target(instance.packet_address(), 1).await);
     }
 
     // A restarted instance reads one page of the store and takes the rest from a peer, which may
@@ -182,7 +170,7 @@
             instance.log_contains("peer followed")
         })
         .await;
-        assert!(!uses_target(&mut net, instance.packet_address(), 7).await);
+        assert!(!net.uses_target(instance.packet_address(), 7).await);
     }
 
     // A peer whose store was restored may send its revision before its complete view.
--- a/crates/edge/tests/restored_store.rs
+++ b/crates/edge/tests/restored_store.rs
@@ -59,18 +59,6 @@
     tokio::time::timeout(CHANGE_LIMIT, is_served).await.is_ok()
 }
 
-/// Opens flows until every target of the view must have got some, and returns whether one of them
-/// went to the given target.
-async fn uses_target(net: &mut TestNetwork, via: SocketAddrV4, target: usize) -> bool {
-    let token = TargetId(net.targets[target].id).token().0;
-    for _ in 0..6 * net.targets.len() {
-        if net.caller.open_flow(via).await.unwrap().token == token {
-            return true;
-        }
-    }
-    false
-}
-
 /// Publishes a report of a target.
 fn report(net: &TestNetwork, target: usize, state: &str, number: u64) {
     let target = &net.targets[target];
@@ -90,6 +78,23 @@
     (reader, follower)
 }
 
+/// Checks that a target gets no flows from the reader, from the follower, and from the follower after
+/// a restart.
+async fn assert_unused(
+    net: &mut TestNetwork,
+    reader: &Instance,
+    mut follower: Instance,
+    target: usize,
+) {
+    for via in [reader.packet_address(), follower.packet_address()] {
+        assert!(!net.uses_target(via, target).await);
+    }
+    follower.kill();
+    let follower = net.start_ready(1).await;
+    tokio::time::sleep(CHANGE_LIMIT).await;
+    assert!(!net.uses_target(follower.packet_address(), target).await);
+}
+
 cases! {
     change_after_a_restore_takes_effect => {
         let mut net = TestNetwork::new(1).await;
@@ -174,7 +179,7 @@
         report(&net, 1, "draining", 4);
         tokio::time::sleep(CHANGE_LIMIT).await;
         for via in [reader.packet_address(), follower.packet_address()] {
-            assert!(!uses_target(&mut net, via, 1).await);
+            assert!(!net.uses_target(via, 1).await);
         }
     }
 
@@ -206,7 +211,7 @@
 
     target_that_left_does_not_return_with_the_copy => {
         let mut net = TestNetwork::new(2).await;
-        let (reader, mut follower) = start_pair(&net).await;
+        let (reader, follower) = start_pair(&net).await;
         let copy = net.store.copy();
         report(&net, 1, "draining", 2);
         let key = net.targets[1].store_key();
@@ -215,31 +220,19 @@
         wait_until_version(&follower, 2).await;
         net.store.restore(&copy);
         wait_until_restore_noticed(&reader).await;
-        for via in [reader.packet_address(), follower.packet_address()] {
-            assert!(!uses_target(&mut net, via, 1).await);
-        }
-        follower.kill();
-        let follower = net.start_ready(1).await;
-        tokio::time::sleep(CHANGE_LIMIT).await;
-        assert!(!uses_target(&mut net, follower.packet_address(), 1).await);
+        assert_unused(&mut net, &reader, follower, 1).await;
     }
 
     drain_is_not_reverted_by_the_copy => {
         let mut net = TestNetwork::new(2).await;
-        let (reader, mut follower) = start_pair(&net).await;
+        let (reader, follower) = start_pair(&net).await;
         let copy = net.store.copy();
         report(&net, 1, "draining", 2);
         publish(&net, 2, &[]);
         wait_until_version(&follower, 2).await;
         net.store.restore(&copy);
         wait_until_restore_noticed(&reader).await;
-        for via in [reader.packet_address(), follower.packet_address()] {
-            assert!(!uses_target(&mut net, via, 1).await);
-        }
-        follower.kill();
-        let follower = net.start_ready(1).await;
-        tokio::time::sleep(CHANGE_LIMIT).await;
-        assert!(!uses_target(&mut net, follower.packet_address(), 1).await);
+        assert_unused(&mut net, &reader, follower, 1).await;
     }
 
     target_missing_in_the_copy_keeps_its_flows => {
@@ -278,7 +271,7 @@
         report(&net, 1, "ready", 1);
         tokio::time::sleep(CHANGE_LIMIT).await;
         for via in [reader.packet_address(), follower.packet_address()] {
-            assert!(uses_target(&mut net, via, 1).await);
+            assert!(net.uses_target(via, 1).await);
         }
     }
 }
