Add review case 2: two servers with one token share the packets of an open flow

Instances that learned the two servers in different orders send packets of an open flow to different ones. After a planned restart a server that does not hold the flow resets it.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/unanswered_call review/standins/unanswered_call.rs
+for program in unanswered_call shared_token; do
+    rustc --edition 2024 -O -o "target/review/$program" "review/standins/$program.rs"
+done
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::thread::sleep;
 use std::time::Duration;
 
 use crate::net::Net;
@@ -12,6 +13,9 @@
 /// `run` of the role in deploy/system.toml.
 const PROGRAM: &str = "target/release/pollenpin-edge";
 
+/// `grace-s` of the settings.
+const GRACE_S: u32 = 6;
+
 pub struct Instance {
     process: Child,
     pub host: Ipv4Addr,
@@ -66,6 +70,20 @@
             && head.ends_with(b" 200")
     }
 
+    /// Stops the process as the platform does: SIGTERM, and SIGKILL after `grace-s`.
+    pub fn stop(&mut self) {
+        let id = self.process.id().to_string();
+        // If it cannot be sent, the process is killed below.
+        let _ = Command::new("kill").args(["-TERM", &id]).status();
+        for _ in 0..GRACE_S * 100 {
+            if !self.is_running() {
+                return;
+            }
+            sleep(Duration::from_millis(10));
+        }
+        let _ = self.process.kill();
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.process.try_wait(), Ok(None))
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -22,10 +22,21 @@
 #[derive(Clone, Default)]
 pub struct Seen {
     pub taken: Arc<Mutex<Vec<Taken>>>,
+    /// Server at which each flow was opened.
+    pub opened: Arc<Mutex<HashMap<SocketAddrV4, u64>>>,
+    /// Servers that reset a flow which they did not hold, and the flow.
+    pub resets: Arc<Mutex<Vec<(u64, SocketAddrV4)>>>,
     /// Flows whose request was run.
     pub run: Arc<Mutex<Vec<SocketAddrV4>>>,
 }
 
+struct ServerFlow {
+    /// Sequence number of the next byte from the client.
+    expected: u32,
+    /// Whether the end of the handshake has arrived.
+    is_open: bool,
+}
+
 #[derive(Clone)]
 pub struct Server {
     pub id: u64,
@@ -43,7 +54,9 @@
         });
         let id = self.id;
         thread::spawn(move || {
-            let mut flows: HashMap<(SocketAddrV4, SocketAddrV4), u32> = HashMap::new();
+            let mut flows: HashMap<(SocketAddrV4, SocketAddrV4), ServerFlow> = HashMap::new();
+            // Differs by server, so that a client can tell whose handshake it has received.
+            let first_seq = 1_000_000 + (id as u32 & 0xff_ffff);
             let mut buffer = [0; 2048];
             while let Ok(length) = socket.recv(&mut buffer) {
                 let Some((prefix, bytes)) = buffer[..length].split_first_chunk::<8>() else {
@@ -58,27 +71,39 @@
                 let key = (packet.src, packet.dst);
                 let mut answer = Packet::new(packet.dst, packet.src, ACK);
                 answer.echo = packet.echo;
+                let is_handshake_end = packet.ack == first_seq.wrapping_add(1);
                 if packet.flags & SYN != 0 {
-                    seen.taken.lock().unwrap().push(Taken {
+                    let taken = Taken {
                         from: packet.src,
                         to: packet.dst,
                         copy: packet.ack,
-                    });
+                    };
+                    seen.taken.lock().unwrap().push(taken);
                     record.line(format!(
                         "server {id:x}: takes {} to {}, copy {}",
                         packet.src, packet.dst, packet.ack
                     ));
-                    flows.insert(key, packet.seq.wrapping_add(1));
+                    let expected = packet.seq.wrapping_add(1);
+                    flows.entry(key).or_insert(ServerFlow {
+                        expected,
+                        is_open: false,
+                    });
                     answer.flags = SYN | ACK;
-                    answer.seq = 5_000;
-                    answer.ack = packet.seq.wrapping_add(1);
-                } else if let Some(expected) = flows.get_mut(&key) {
+                    answer.seq = first_seq;
+                    answer.ack = expected;
+                } else if let Some(flow) = flows
+                    .get_mut(&key)
+                    .filter(|flow| flow.is_open || is_handshake_end)
+                {
+                    if !std::mem::replace(&mut flow.is_open, true) {
+                        seen.opened.lock().unwrap().insert(packet.src, id);
+                    }
                     if packet.data.is_empty() && packet.flags & FIN == 0 {
                         continue;
                     }
                     answer.seq = packet.ack;
-                    if packet.seq == *expected && !packet.data.is_empty() {
-                        *expected = expected.wrapping_add(packet.data.len() as u32);
+                    if packet.seq == flow.expected && !packet.data.is_empty() {
+                        flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
                         seen.run.lock().unwrap().push(packet.src);
                         record.line(format!(
                             "server {id:x}: runs a request of {} to {}",
@@ -86,19 +111,24 @@
                         ));
                         answer.data = b"HTTP/1.1 200 OK\r\n\r\n".to_vec();
                     }
-                    answer.ack = *expected;
+                    answer.ack = flow.expected;
                     if packet.flags & FIN != 0 {
                         answer.flags |= FIN;
                         flows.remove(&key);
                     }
+                } else if packet.flags & RST != 0 {
+                    continue;
                 } else {
+                    record.line(format!(
+                        "server {id:x}: resets {} to {}, which it does not hold",
+                        packet.src, packet.dst
+                    ));
+                    seen.resets.lock().unwrap().push((id, packet.src));
                     answer.flags = RST;
                 }
                 // A client that has left does not matter.
-                let _ = socket.send_to(
-                    &answer.encode(),
-                    SocketAddrV4::new(*packet.src.ip(), client_port),
-                );
+                let to = SocketAddrV4::new(*packet.src.ip(), client_port);
+                let _ = socket.send_to(&answer.encode(), to);
             }
         });
     }
