Add the interfaces of spill-over, caller fairness and long flows

New fields and messages of the peers' protocol, which nothing fills or reads yet; ReadLoads answers Unimplemented. Instances of earlier versions ignore the fields.

--- a/crates/edge/src/load_exchange.rs
+++ b/crates/edge/src/load_exchange.rs
@@ -105,6 +105,7 @@
             .iter()
             .map(|load| load.relative_response_milli)
             .collect(),
+        ..LoadReport::default()
     }
 }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -13,7 +13,10 @@
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::Relay;
-use wire::steering::{Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ViewPart};
+use wire::steering::{
+    Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ReadLoadsReply,
+    ReadLoadsRequest, ViewPart,
+};
 
 use crate::clock::Clock;
 use crate::evidence::EvidenceDeduplicator;
@@ -367,6 +370,13 @@
         }))
     }
 
+    async fn read_loads(
+        &self,
+        _: Request<ReadLoadsRequest>,
+    ) -> Result<Response<ReadLoadsReply>, Status> {
+        Err(Status::unimplemented("no summary of the loads"))
+    }
+
     type FollowStream = Pin<Box<dyn Stream<Item = Result<ViewPart, Status>> + Send>>;
 
     async fn follow(
--- a/crates/edge/tests/load_exchange.rs
+++ b/crates/edge/tests/load_exchange.rs
@@ -159,6 +159,7 @@
             turned_away: Vec::new(),
             delayed: Vec::new(),
             relative_response_milli: Vec::new(),
+            ..LoadReport::default()
         };
         assert_eq!(decode(&report), [load(7, 2, 3), load(9, 0, 1)]);
         let without_tokens = LoadReport { pending: vec![1], ..LoadReport::default() };
--- a/crates/edge/tests/outdated_peer.rs
+++ b/crates/edge/tests/outdated_peer.rs
@@ -17,7 +17,9 @@
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::{Relay, RelayServer};
-use wire::steering::{FollowRequest, MeetReply, MeetRequest, Peer, ViewPart};
+use wire::steering::{
+    FollowRequest, MeetReply, MeetRequest, Peer, ReadLoadsReply, ReadLoadsRequest, ViewPart,
+};
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {$(
@@ -49,6 +51,13 @@
         }))
     }
 
+    async fn read_loads(
+        &self,
+        _: Request<ReadLoadsRequest>,
+    ) -> Result<Response<ReadLoadsReply>, Status> {
+        Err(Status::unimplemented("an earlier version"))
+    }
+
     type FollowStream = Pin<Box<dyn Stream<Item = Result<ViewPart, Status>> + Send>>;
 
     async fn follow(
