Find peers with a view while the store is away

Cause: an instance that starts while the store is away knew only the seeds and those that had called them since its start. If the seeds start again as well, nobody knew the few instances that survived with a view, which call the seeds every 5 s at most.

--- a/crates/edge/src/daemon.rs
+++ b/crates/edge/src/daemon.rs
@@ -14,14 +14,14 @@
 use steer::{Peer, Peers, Steer};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use wire::steering::relay_server::RelayServer;
 
 use crate::clock::Clock;
 use crate::http::{self, OperatorState, Readiness};
 use crate::metrics::Metrics;
 use crate::packets::PacketLoop;
-use crate::peer::discover_peers;
+use crate::peer::{DiscoverySignals, discover_peers};
 use crate::relay::{RelayService, lock};
 use crate::view_reader::{LoopEvent, ReaderContext, ViewReader};
 use crate::{Error, Result};
@@ -135,11 +135,11 @@
         let peers = Arc::new(Mutex::new(Peers::new(own_peer(&settings))));
         let seed = SmallRng::from_os_rng().next_u64();
         let relay = RelayService::new(peers.clone(), queue.clone(), seed, clock, log.clone());
-        let peers_discovered = Arc::new(Notify::new());
+        let discovery = DiscoverySignals::default();
         let context = ReaderContext {
             store: Store::new(settings.store_address)?,
             peers: peers.clone(),
-            peers_discovered: peers_discovered.clone(),
+            discovery: discovery.clone(),
             relay: relay.clone(),
             change_limit: settings.change_limit,
             clock,
@@ -150,7 +150,7 @@
             let seeds = settings.seeds.clone();
             tokio::spawn(discover_peers(
                 peers,
-                peers_discovered,
+                discovery,
                 queue.clone(),
                 seeds,
                 clock,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -7,14 +7,14 @@
 use displaydoc::Display;
 use ids::Millis;
 use slog::{Logger, debug};
-use steer::{Peer, Peers};
+use steer::{Peer, PeerReport, Peers};
 use tokio::sync::{Notify, mpsc};
 use tokio_stream::Stream;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Code, Status, Streaming};
 use wire::steering::relay_client::RelayClient;
-use wire::steering::{FollowRequest, MeetRequest, Peer as WirePeer, ViewPart};
+use wire::steering::{FollowRequest, MeetReply, MeetRequest, Peer as WirePeer, ViewPart};
 
 use crate::clock::Clock;
 use crate::relay::lock;
@@ -30,6 +30,10 @@
 const STARTUP_ROUNDS: u32 = 4;
 const STARTUP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The same number for an instance that has no view yet. It covers most outages of the store, and
+/// bounds the calls to the seeds if a whole fleet starts while the store is down.
+const ROUNDS_WITHOUT_VIEW: u32 = 8;
+
 /// Interval of later discovery rounds, and thus the time within which a better peer is found.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -40,25 +44,28 @@
 /// Maximum size of a received part of a view. 75,000 targets take about 60 bytes each, 4.5 MB.
 const MAX_PART_BYTES: usize = 32 << 20;
 
-/// Encodes a peer and the time since it was last heard from.
-pub fn encode(peer: &Peer, heard_age: Millis) -> WirePeer {
+/// Encodes what is known of a peer.
+pub fn encode(report: &PeerReport) -> WirePeer {
     WirePeer {
-        address: peer.address.to_string(),
-        domain: peer.domain.to_string(),
-        link_kbps: peer.link_kbps,
-        heard_ms: heard_age.0,
+        address: report.peer.address.to_string(),
+        domain: report.peer.domain.to_string(),
+        link_kbps: report.peer.link_kbps,
+        heard_ms: report.heard_age.0,
+        has_view: report.has_view,
     }
 }
 
-/// Decodes a peer and the time since it was last heard from. Returns `None` if its address is
-/// invalid.
-pub fn decode(peer: &WirePeer) -> Option<(Peer, Millis)> {
-    let decoded = Peer {
-        address: peer.address.parse().ok()?,
-        domain: peer.domain.as_str().into(),
-        link_kbps: peer.link_kbps,
-    };
-    Some((decoded, Millis(peer.heard_ms)))
+/// Decodes what is known of a peer. Returns `None` if its address is invalid.
+pub fn decode(peer: &WirePeer) -> Option<PeerReport> {
+    Some(PeerReport {
+        peer: Peer {
+            address: peer.address.parse().ok()?,
+            domain: peer.domain.as_str().into(),
+            link_kbps: peer.link_kbps,
+        },
+        heard_age: Millis(peer.heard_ms),
+        has_view: peer.has_view,
+    })
 }
 
 async fn connect(address: SocketAddr) -> Result<RelayClient<Channel>, tonic::transport::Error> {
@@ -68,11 +75,24 @@
     Ok(RelayClient::new(channel).max_decoding_message_size(MAX_PART_BYTES))
 }
 
+/// Notifications between peer discovery and the reader of the view.
+#[derive(Debug, Clone, Default)]
+pub struct DiscoverySignals {
+    /// Sent after each round.
+    pub round_ended: Arc<Notify>,
+    /// Requests rounds at the short interval, since many instances may have been lost.
+    pub peer_lost: Arc<Notify>,
+}
+
 /// Runs discovery rounds until the process ends: calls the upstream peer and, when due, the seeds.
-/// Notifies `discovered` after each round and sends the known members to the packet loop.
+/// Sends the known members to the packet loop after each round.
+///
+/// An instance whose upstream peer failed, or that has no view yet, uses the short interval. If the
+/// store and most instances fail at once, those that start again learn in this way which of the
+/// others have a view.
 pub async fn discover_peers(
     peers: Arc<Mutex<Peers>>,
-    discovered: Arc<Notify>,
+    signals: DiscoverySignals,
     events: flume::Sender<LoopEvent>,
     seeds: Vec<SocketAddr>,
     clock: Clock,
@@ -80,10 +100,14 @@
 ) {
     let own = lock(&peers).own().clone();
     let is_alone = seeds.iter().all(|seed| *seed == own.address);
-    for round in 0_u32.. {
+    let mut round = 0_u32;
+    loop {
         let upstream = lock(&peers).upstream(clock.now());
         let mut addresses: Vec<SocketAddr> = upstream.into_iter().collect();
-        if upstream.is_none() || round < STARTUP_ROUNDS || round % ROUNDS_PER_SEED_CALL == 0 {
+        if upstream.is_none()
+            || round < STARTUP_ROUNDS
+            || round.is_multiple_of(ROUNDS_PER_SEED_CALL)
+        {
             addresses.extend(&seeds);
         }
         addresses.retain(|address| *address != own.address);
@@ -97,20 +121,28 @@
             // A panic in one call must not stop discovery; the results of the other calls are used.
             let _ = call.await;
         }
-        let members = {
+        let (members, has_view) = {
             let mut peers = lock(&peers);
             peers.expire(clock.now());
-            peers.members(is_alone)
+            (peers.members(is_alone), peers.has_view())
         };
-        discovered.notify_waiters();
+        signals.round_ended.notify_waiters();
         // The packet loop has ended if nobody receives them.
         let _ = events.send(LoopEvent::Members(members));
-        let pause = if round < STARTUP_ROUNDS {
-            STARTUP_INTERVAL
+        round += 1;
+        let short_rounds = if has_view {
+            STARTUP_ROUNDS
         } else {
-            DISCOVERY_INTERVAL
+            ROUNDS_WITHOUT_VIEW
         };
-        tokio::time::sleep(pause).await;
+        if round < short_rounds {
+            tokio::time::sleep(STARTUP_INTERVAL).await;
+            continue;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(DISCOVERY_INTERVAL) => {}
+            () = signals.peer_lost.notified() => round = 0,
+        }
     }
 }
 
@@ -121,14 +153,14 @@
     clock: Clock,
     log: Logger,
 ) {
-    let own = lock(&peers).own().clone();
+    let own = lock(&peers).own_report();
     let reason = match tokio::time::timeout(CALL_TIMEOUT, request_peers(address, &own)).await {
         Ok(Ok(known_peers)) => {
             let mut peers = lock(&peers);
             let now = clock.now();
             peers.record_exchange(now);
-            for (peer, age) in known_peers {
-                peers.learn(peer, now - age);
+            for report in known_peers {
+                peers.learn(now, report);
             }
             return;
         }
@@ -138,16 +170,21 @@
     debug!(log, "peer not met"; "step" => "meet", "peer" => %address, "reason" => reason);
 }
 
-async fn request_peers(address: SocketAddr, own: &Peer) -> Result<Vec<(Peer, Millis)>, String> {
+async fn request_peers(address: SocketAddr, own: &PeerReport) -> Result<Vec<PeerReport>, String> {
     let mut client = connect(address).await.map_err(|error| error.to_string())?;
     let request = MeetRequest {
-        caller: Some(encode(own, Millis(0))),
+        caller: Some(encode(own)),
     };
     let reply = client
         .meet(request)
         .await
         .map_err(|status| status.to_string())?;
-    Ok(reply.into_inner().peers.iter().filter_map(decode).collect())
+    let MeetReply {
+        peers,
+        view_holders,
+    } = reply.into_inner();
+    let known = peers.iter().chain(&view_holders);
+    Ok(known.filter_map(decode).collect())
 }
 
 /// Why a peer cannot be followed, or can no longer be followed.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -8,7 +8,7 @@
 
 use ids::Millis;
 use slog::{Logger, info, warn};
-use steer::{Applied, Catalog, Evidence, Peers, Revision, TargetLoad, Update};
+use steer::{Applied, Catalog, Evidence, PeerReport, Peers, Revision, TargetLoad, Update};
 use tokio::sync::{Notify, Semaphore, broadcast, mpsc};
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
@@ -357,16 +357,21 @@
             .ok_or_else(|| Status::invalid_argument("no caller with a valid address"))?;
         let now = self.clock.now();
         let mut peers = lock(&self.peers);
-        let known = peers.best_of_domain(now, &caller.0.domain);
-        let own = peers.own().clone();
-        peers.learn(caller.0, now);
+        let mut known = vec![peers.own_report()];
+        known.extend(peers.best_of_domain(now, &caller.peer.domain));
+        let view_holders = match caller.has_view {
+            true => Vec::new(),
+            false => peers.view_holders(now),
+        };
+        let caller = PeerReport {
+            heard_age: Millis(0),
+            ..caller
+        };
+        peers.learn(now, caller);
         drop(peers);
-        let own = std::iter::once((own, Millis(0)));
         Ok(Response::new(MeetReply {
-            peers: own
-                .chain(known)
-                .map(|(peer, age)| peer::encode(&peer, age))
-                .collect(),
+            peers: known.iter().map(peer::encode).collect(),
+            view_holders: view_holders.iter().map(peer::encode).collect(),
         }))
     }
 
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -12,11 +12,12 @@
 use slog::{Logger, info, warn};
 use steer::status::CoreStatus;
 use steer::{Change, Evidence, Members, Peers, Revision, TargetLoad, Update};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 use crate::log_fields::AtRevision;
 use crate::metrics::Metrics;
+use crate::peer::DiscoverySignals;
 use crate::relay::{RelayService, lock};
 use crate::store_timing::{
     FIRST_PAGE_PATIENCE, MIN_RETRY_PAUSE, PEER_CHECK_INTERVAL, StoreTiming, WatchConditions,
@@ -57,8 +58,8 @@
     pub store: Store,
     /// Known peers.
     pub peers: Arc<Mutex<Peers>>,
-    /// Notified after each round of peer discovery.
-    pub peers_discovered: Arc<Notify>,
+    /// Notifications from and to peer discovery.
+    pub discovery: DiscoverySignals,
     /// Relay that publishes the view to peers.
     pub relay: RelayService,
     /// Maximum time until a published change must take effect.
@@ -196,7 +197,7 @@
     /// Completes once a round of peer discovery has found a peer to follow.
     async fn upstream_found(&self) {
         loop {
-            self.context.peers_discovered.notified().await;
+            self.context.discovery.round_ended.notified().await;
             if self.upstream_peer().is_some() {
                 return;
             }
@@ -359,6 +360,7 @@
 
     pub(crate) fn apply_snapshot(&mut self, revision: Revision, updates: Vec<Update>) {
         self.revision = Some(revision);
+        lock(&self.context.peers).record_own_view();
         let applied = self.context.relay.publish_snapshot(revision, updates);
         self.log_outdated(revision, &applied.outdated);
         let updates = applied.updates;
@@ -455,6 +457,24 @@
         if let Some(limit) = self.timing.peer_view_timeout(has_view, is_first_failure) {
             self.fetch_view_from_peer(limit).await;
         }
-        tokio::time::sleep(self.next_retry_pause()).await;
+        let pause = self.next_retry_pause();
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = self.view_holder_found(), if !has_view => {
+                if let Some(limit) = self.timing.peer_view_timeout(has_view, false) {
+                    self.fetch_view_from_peer(limit).await;
+                }
+            }
+        }
+    }
+
+    /// Completes once a round of peer discovery has found a peer with a view.
+    async fn view_holder_found(&self) {
+        loop {
+            self.context.discovery.round_ended.notified().await;
+            if lock(&self.context.peers).knows_view_holder(self.context.clock.now()) {
+                return;
+            }
+        }
     }
 }
--- a/crates/edge/tests/end_to_end.rs
+++ b/crates/edge/tests/end_to_end.rs
@@ -345,6 +345,28 @@
         assert!(net.caller.open_flow(second.packet_address()).await.is_ok());
     }
 
+    // Guards against seeds that start again while the store is down and ask only each other, although
+    // an instance that nobody has as a seed still has the view. A discovery round at the usual
+    // interval of 5 s would be too late.
+    instances_start_from_a_survivor_that_is_no_seed => {
+        let mut net = TestNetwork::new(1).await;
+        let mut seeds = [net.start_ready(0).await, net.start_ready(1).await];
+        let survivor = net.start_with(2, net.store.address, LINK_MBPS / 2);
+        wait_until("the survivor is ready", || survivor.is_ready()).await;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        net.store.set_mode(Mode::Unresponsive);
+        for seed in &mut seeds {
+            seed.kill();
+        }
+        let restarted = [net.start(0), net.start(1)];
+        let started_at = Instant::now();
+        for instance in &restarted {
+            wait_until("the seed is ready", || instance.is_ready()).await;
+        }
+        assert!(started_at.elapsed() < CHANGE_LIMIT, "{:?}", started_at.elapsed());
+        assert!(net.caller.open_flow(restarted[0].packet_address()).await.is_ok());
+    }
+
     status_lists_the_targets => {
         let net = TestNetwork::new(2).await;
         let instance = net.start_ready(0).await;
--- a/crates/edge/tests/outdated_peer.rs
+++ b/crates/edge/tests/outdated_peer.rs
@@ -47,7 +47,9 @@
                 domain: "a".to_owned(),
                 link_kbps: u64::from(LINK_MBPS) * 2_000,
                 heard_ms: 0,
+                ..Peer::default()
             }],
+            ..MeetReply::default()
         }))
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -54,7 +54,7 @@
     TargetId, Update,
 };
 pub use packet::{FlowId, PacketKind, Segment, Token};
-pub use peers::{Members, Peer, Peers};
+pub use peers::{Members, Peer, PeerReport, Peers};
 pub use revision::Revision;
 pub use settings::{ColdLimit, Settings};
 pub use steer::Steer;
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -33,6 +33,9 @@
 /// cost. If the first ones are gone, the caller still reaches another, which returns more.
 const MAX_ADVERTISED_OTHER_DOMAIN: usize = 4;
 
+/// Maximum number of peers with a view returned to a caller without one.
+const MAX_ADVERTISED_VIEW_HOLDERS: usize = 8;
+
 /// Maximum number of known peers. Every caller is added, and seeds have many callers.
 const MAX_PEERS: usize = 4_096;
 
@@ -72,18 +75,43 @@
     pub is_alone: bool,
 }
 
+/// What one instance tells another of a peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerReport {
+    /// The peer.
+    pub peer: Peer,
+    /// Time since the peer itself was heard from.
+    pub heard_age: Millis,
+    /// Whether the peer had a view then.
+    pub has_view: bool,
+}
+
 #[derive(Debug)]
 struct KnownPeer {
     peer: Peer,
     last_heard_at: Micros,
+    /// Whether the peer had a view when it was last heard from.
+    has_view: bool,
     suspended_until: Micros,
     full_until: Micros,
 }
 
+impl KnownPeer {
+    fn report(&self, now: Micros) -> PeerReport {
+        PeerReport {
+            peer: self.peer.clone(),
+            heard_age: now.since(self.last_heard_at),
+            has_view: self.has_view,
+        }
+    }
+}
+
 /// The known peers of an instance.
 #[derive(Debug)]
 pub struct Peers {
     own: Peer,
+    /// Whether this instance has a view.
+    has_view: bool,
     known: HashMap<SocketAddr, KnownPeer>,
     last_exchange_at: Option<Micros>,
 }
@@ -93,6 +121,7 @@
     pub fn new(own: Peer) -> Self {
         Self {
             own,
+            has_view: false,
             known: HashMap::new(),
             last_exchange_at: None,
         }
@@ -103,13 +132,45 @@
         &self.own
     }
 
-    /// Adds or updates a peer that this or another instance last heard from at `last_heard_at`.
-    pub fn learn(&mut self, peer: Peer, last_heard_at: Micros) {
+    /// Returns what this instance tells of itself.
+    pub fn own_report(&self) -> PeerReport {
+        PeerReport {
+            peer: self.own.clone(),
+            heard_age: Millis(0),
+            has_view: self.has_view,
+        }
+    }
+
+    /// Returns whether this instance has a view.
+    pub fn has_view(&self) -> bool {
+        self.has_view
+    }
+
+    /// Records that this instance has a view.
+    pub fn record_own_view(&mut self) {
+        self.has_view = true;
+    }
+
+    /// Adds or updates a peer from what this or another instance heard from it.
+    pub fn learn(&mut self, now: Micros, report: PeerReport) {
+        let PeerReport {
+            peer,
+            heard_age,
+            has_view,
+        } = report;
         if peer.address == self.own.address {
             return;
         }
+        let last_heard_at = now - heard_age;
         if let Some(known) = self.known.get_mut(&peer.address) {
-            known.last_heard_at = known.last_heard_at.max(last_heard_at);
+            if last_heard_at >= known.last_heard_at {
+                known.last_heard_at = last_heard_at;
+                known.has_view = has_view;
+                // A peer that got a view after it was suspended for having none can be asked again.
+                if has_view && last_heard_at + SUSPENSION > known.suspended_until {
+                    known.suspended_until = Micros(0);
+                }
+            }
             known.peer = peer;
             return;
         }
@@ -119,6 +180,7 @@
                 KnownPeer {
                     peer,
                     last_heard_at,
+                    has_view,
                     suspended_until: Micros(0),
                     full_until: Micros(0),
                 },
@@ -220,18 +282,39 @@
         hash_pair(self.own.hash(), peer.hash())
     }
 
-    /// Returns a peer that may have a view, preferably of the same failure domain. An instance that
-    /// starts while the store is down asks it.
+    /// Returns a peer that may have a view, preferably one that is known to have one, and of the same
+    /// failure domain. An instance that starts while the store is down asks it. Instances that start
+    /// together ask different ones, since a complete view takes long on a slow link.
     pub fn fallback(&self, now: Micros) -> Option<SocketAddr> {
         self.known
             .values()
             .filter(|known| now >= known.suspended_until)
-            .min_by_key(|known| (known.peer.domain != self.own.domain, known.peer.rank()))
+            .min_by_key(|known| {
+                let spread = known.has_view.then(|| self.pair_hash(&known.peer));
+                let is_far = known.peer.domain != self.own.domain;
+                (!known.has_view, is_far, spread, known.peer.rank())
+            })
             .map(|known| known.peer.address)
     }
 
-    /// Returns the best peers of a failure domain with the time since each was last heard from.
-    pub fn best_of_domain(&self, now: Micros, domain: &str) -> Vec<(Peer, Millis)> {
+    /// Returns whether a peer is known to have a view and can be asked for it.
+    pub fn knows_view_holder(&self, now: Micros) -> bool {
+        self.known
+            .values()
+            .any(|known| known.has_view && now >= known.suspended_until)
+    }
+
+    /// Returns the peers with a view that were heard from most recently.
+    pub fn view_holders(&self, now: Micros) -> Vec<PeerReport> {
+        let mut holders: Vec<&KnownPeer> =
+            self.known.values().filter(|known| known.has_view).collect();
+        holders.sort_by_key(|known| (Reverse(known.last_heard_at), known.peer.rank()));
+        let holders = holders.into_iter().take(MAX_ADVERTISED_VIEW_HOLDERS);
+        holders.map(|known| known.report(now)).collect()
+    }
+
+    /// Returns the best peers of a failure domain.
+    pub fn best_of_domain(&self, now: Micros, domain: &str) -> Vec<PeerReport> {
         let mut domain_peers: Vec<&KnownPeer> = self
             .known
             .values()
@@ -246,7 +329,7 @@
         domain_peers
             .into_iter()
             .take(count)
-            .map(|known| (known.peer.clone(), now.since(known.last_heard_at)))
+            .map(|known| known.report(now))
             .collect()
     }
 }
--- a/crates/steer/tests/kit/fleet.rs
+++ b/crates/steer/tests/kit/fleet.rs
@@ -5,8 +5,8 @@
 
 use ids::{Micros, Millis};
 use steer::{
-    Change, ColdLimit, FlowId, PacketKind, Peer, Peers, ResetReason, Revision, Segment, Service,
-    Settings, Steer, Target, TargetId, Token, Update, Verdict,
+    Change, ColdLimit, FlowId, PacketKind, Peer, PeerReport, Peers, ResetReason, Revision, Segment,
+    Service, Settings, Steer, Target, TargetId, Token, Update, Verdict,
 };
 
 use super::{ORDER, new_document, new_route, new_target};
@@ -180,7 +180,12 @@
             core.peers.record_exchange(core.now);
             for (other, peer, age) in known {
                 if !core.unknown.contains(&other) {
-                    core.peers.learn(peer, core.now - age);
+                    let report = PeerReport {
+                        peer,
+                        heard_age: age,
+                        has_view: true,
+                    };
+                    core.peers.learn(core.now, report);
                 }
             }
         }
--- a/crates/steer/tests/peers.rs
+++ b/crates/steer/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use ids::{Micros, Millis};
-use steer::{Peer, Peers};
+use steer::{Peer, PeerReport, Peers};
 
 const NOW: Micros = Micros(1_000_000);
 
@@ -15,16 +15,25 @@
     }
 }
 
+fn report(peer: &Peer, has_view: bool) -> PeerReport {
+    PeerReport {
+        peer: peer.clone(),
+        heard_age: Millis(0),
+        has_view,
+    }
+}
+
 fn peers_of(own: u8, others: &[Peer]) -> Peers {
     let mut peers = Peers::new(peer(own, "a", 10_000));
     for other in others {
-        peers.learn(other.clone(), NOW);
+        peers.learn(NOW, report(other, false));
     }
     peers
 }
 
 macro_rules! cases {
-    ($($name:ident => $body:block)*) => {$(
+    ($($(#[$doc:meta])* $name:ident => $body:block)*) => {$(
+        $(#[$doc])*
         #[test]
         fn $name() $body
     )*};
@@ -62,7 +71,7 @@
         for own in &narrow {
             let mut peers = Peers::new(own.clone());
             for other in wide.iter().chain(&narrow).chain([&best]) {
-                peers.learn(other.clone(), NOW);
+                peers.learn(NOW, report(other, false));
             }
             assert_eq!(peers.upstream(NOW), Some(best.address));
             peers.mark_full(NOW, best.address);
@@ -114,10 +123,60 @@
         assert_eq!(peers_of(1, &[far, near.clone()]).fallback(NOW), Some(near.address));
     }
 
+    /// Guards against an instance that asks its equals, which have just started as well, while another
+    /// one has a view.
+    fallback_has_a_view_if_any_peer_has_one => {
+        let near = peer(3, "a", 10_000);
+        let holder = peer(2, "b", 10_000);
+        let mut peers = peers_of(1, &[near, holder.clone()]);
+        assert!(!peers.knows_view_holder(NOW));
+        peers.learn(NOW, report(&holder, true));
+        assert_eq!(peers.fallback(NOW), Some(holder.address));
+        assert_eq!(peers.view_holders(NOW), [report(&holder, true)]);
+    }
+
+    /// Guards against old information about a peer that has started again without a view.
+    latest_information_about_a_view_counts => {
+        let near = peer(3, "a", 10_000);
+        let restarted = peer(2, "b", 10_000);
+        let mut peers = peers_of(1, &[near.clone(), restarted.clone()]);
+        peers.learn(NOW, PeerReport { heard_age: Millis(500), ..report(&restarted, true) });
+        assert_eq!(peers.fallback(NOW), Some(near.address));
+    }
+
+    /// Guards against the pause after a peer had no view keeping it out once it has one.
+    suspended_peer_is_asked_once_it_has_a_view => {
+        let holder = peer(2, "b", 10_000);
+        let mut peers = peers_of(1, std::slice::from_ref(&holder));
+        peers.suspend(NOW, holder.address);
+        let later = NOW + Millis(400);
+        assert_eq!(peers.fallback(later), None);
+        let before = PeerReport { heard_age: Millis(500), ..report(&holder, true) };
+        peers.learn(later, before);
+        assert_eq!(peers.fallback(later), None);
+        peers.learn(later, report(&holder, true));
+        assert_eq!(peers.fallback(later), Some(holder.address));
+    }
+
+    /// Guards against all starting instances asking the same peer for a complete view.
+    starting_instances_ask_different_holders => {
+        let holders: Vec<Peer> = (201..=204).map(|last| peer(last, "a", 200_000)).collect();
+        let asked: std::collections::BTreeSet<_> = (1..=20)
+            .map(|own| {
+                let mut peers = peers_of(own, &[]);
+                for holder in &holders {
+                    peers.learn(NOW, report(holder, true));
+                }
+                peers.fallback(NOW)
+            })
+            .collect();
+        assert!(asked.len() >= 3, "{asked:?}");
+    }
+
     old_news_of_a_dead_peer_does_not_keep_it => {
         let dead = peer(9, "a", 200_000);
         let mut peers = peers_of(1, std::slice::from_ref(&dead));
-        peers.learn(dead, NOW);
+        peers.learn(NOW, report(&dead, false));
         peers.expire(NOW + Millis(20_001));
         assert!(peers.best_of_domain(NOW, "a").is_empty());
     }
