Limit callers by their openings in the whole failure domain

Cause: fairness between callers counted openings at one instance. Routers spread the flows of a caller over all instances, so it had as many allowances as there are instances, and the most urgent priority had no limit by caller at all.

Change: while a service is short of capacity, each instance reports its largest addresses, the openings of each priority and a bitmap of the callers. Reports are added up on the way of the loads, with 16 addresses a service, and the sums come down again. An address over its share gets free targets, what the others leave, or as much as one of the others. If the most urgent priority does not fit although the others are at their minimum, addresses over their share are limited in it as well. Without sums for 1 s, an instance goes by its own reports. The pressure model passes the reports with its delay and loss.

Ruled out: counting refused openings whole, which made refused callers that retry look heavy; counting admitted ones only, which lets a limited caller in again while the sums are on their way; the sketch of own openings for the most urgent priority, which refused 3 of 1,000 regular callers.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use wire::steering::ViewPart;
 
+use crate::caller_exchange;
 use crate::load_exchange;
 use crate::log_fields::AtRevision;
 use crate::peer::{self, FollowError, ViewStream};
@@ -158,7 +159,9 @@
         self.context.relay.receive_from_upstream(&part.evidence);
         if let Some(loads) = &part.loads {
             let loads = load_exchange::decode(loads);
-            self.context.relay.send_loads_down(loads);
+            let callers = part.callers.as_ref();
+            let callers = callers.map(caller_exchange::decode).unwrap_or_default();
+            self.context.relay.send_loads_down(loads, callers);
         }
         if part.is_complete {
             if !view_part::has_orders(&part) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! thread read the store, exchange data with peers and serve HTTP. See [running on the
 //! platform](../../../docs/platform.md).
 
+pub mod caller_exchange;
 mod clock;
 pub mod daemon;
 mod error;
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -3,9 +3,9 @@
 use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
-use ids::Millis;
+use ids::{Micros, Millis};
 use platform::packet;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use steer::{Destination, Evidence, Steer, Verdict};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -109,8 +109,7 @@
                         sweep_at = Instant::now() + SWEEP_INTERVAL;
                     }
                     if Instant::now() >= loads_at {
-                        let loads = self.steer.take_own_loads();
-                        self.relay.publish_loads(&loads);
+                        self.publish_loads();
                         loads_at = Instant::now() + self.load_interval();
                     }
                 }
@@ -125,6 +124,12 @@
         self.last_received_at
     }
 
+    fn publish_loads(&mut self) {
+        let loads = self.steer.take_own_loads();
+        let callers = self.steer.take_own_callers(self.clock.now());
+        self.relay.publish_loads(&loads, &callers);
+    }
+
     fn load_interval(&self) -> Duration {
         if self.steer.has_queued_requests() {
             BUSY_LOAD_INTERVAL
@@ -234,6 +239,10 @@
                 self.steer.on_domain_loads(now, &loads);
                 return;
             }
+            LoopEvent::DomainCallers(totals) => {
+                self.steer.on_domain_callers(now, &totals);
+                return;
+            }
             LoopEvent::StatusQuery(reply) => {
                 let age = Millis(self.view_confirmed_at.elapsed().as_millis() as u64);
                 // The HTTP request may have been cancelled in the meantime.
@@ -274,9 +283,25 @@
         self.metrics
             .view_age_ms
             .set(self.view_confirmed_at.elapsed().as_millis() as i64);
+        self.report_excess_callers(now);
         self.recorder.record_suppressed();
     }
 
+    fn report_excess_callers(&self, now: Micros) {
+        for (service, count) in self.steer.excess_callers() {
+            let gauge = self
+                .metrics
+                .callers_over_share
+                .with_label_values(&[service.as_str()]);
+            let count = count as i64;
+            if gauge.get() != count {
+                gauge.set(count);
+                info!(self.log, "callers over share"; "service" => %service, "callers" => count,
+                    "admitted_share" => self.steer.admitted_share(service, now));
+            }
+        }
+    }
+
     fn report_notes(&mut self) {
         let now = self.clock.now();
         let mut notes = self.steer.take_notes();
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -8,7 +8,7 @@
 
 use ids::Millis;
 use slog::{Logger, info, warn};
-use steer::{Applied, Catalog, Evidence, Peers, Revision, TargetLoad, Update};
+use steer::{Applied, CallerTotal, Catalog, Evidence, Peers, Revision, TargetLoad, Update};
 use tokio::sync::{Notify, Semaphore, broadcast, mpsc};
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
@@ -18,6 +18,7 @@
     ReadLoadsRequest, ViewPart,
 };
 
+use crate::caller_exchange::{self, CallerExchange};
 use crate::clock::Clock;
 use crate::evidence::EvidenceDeduplicator;
 use crate::load_exchange::{self, LoadExchange};
@@ -65,6 +66,7 @@
     follower_count: Arc<AtomicU64>,
     deduplicator: Arc<Mutex<EvidenceDeduplicator>>,
     loads: Arc<Mutex<LoadExchange>>,
+    callers: Arc<Mutex<CallerExchange>>,
     clock: Clock,
     log: Logger,
 }
@@ -97,6 +99,7 @@
             follower_count: Arc::default(),
             deduplicator: Arc::default(),
             loads: Arc::default(),
+            callers: Arc::default(),
             clock,
             log,
         }
@@ -135,30 +138,37 @@
         }
     }
 
-    /// Sends the loads that this instance sees on their way to all peers of the failure domain.
-    pub fn publish_loads(&self, own: &[TargetLoad]) {
+    /// Sends the loads and the openings that this instance sees on their way to all peers of the
+    /// failure domain.
+    pub fn publish_loads(&self, own: &[TargetLoad], own_callers: &[CallerTotal]) {
         let sums = lock(&self.loads).take_sums(Instant::now(), own);
+        let callers = lock(&self.callers).take_sums(self.clock.now(), own_callers);
         let upstream = lock(&self.upstream).clone();
         let Some(upstream) = upstream else {
-            self.send_loads_down(sums);
+            self.send_loads_down(sums, callers);
             return;
         };
         // A full queue means that the upstream peer is too slow; the next report replaces this one.
         let _ = upstream.try_send(FollowRequest {
             loads: Some(load_exchange::encode(&sums)),
+            callers: caller_exchange::encode(&callers),
             ..FollowRequest::default()
         });
     }
 
-    /// Passes the loads of the failure domain to the packet loop and to followers.
-    pub fn send_loads_down(&self, loads: Vec<TargetLoad>) {
+    /// Passes the loads and the openings of the failure domain to the packet loop and to followers.
+    pub fn send_loads_down(&self, loads: Vec<TargetLoad>, callers: Vec<CallerTotal>) {
         if self.has_followers() {
             let mut part = lock(&self.published).heartbeat_part();
             part.loads = Some(load_exchange::encode(&loads));
+            part.callers = caller_exchange::encode(&callers);
             self.send(part);
         }
         // The queue is unbounded and closes only when the process ends.
         let _ = self.events.send(LoopEvent::DomainLoads(loads));
+        if !callers.is_empty() {
+            let _ = self.events.send(LoopEvent::DomainCallers(callers));
+        }
     }
 
     /// Handles evidence that the upstream peer sent.
@@ -431,6 +441,7 @@
             let loads = load_exchange::decode(loads);
             lock(&relay.loads).receive(follower, Instant::now(), &loads);
         }
+        lock(&relay.callers).receive(request.callers.as_ref());
     }
     lock(&relay.loads).remove(follower);
 }
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
 use steer::status::CoreStatus;
-use steer::{Change, Evidence, Members, Peers, Revision, TargetLoad, Update};
+use steer::{CallerTotal, Change, Evidence, Members, Peers, Revision, TargetLoad, Update};
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::Clock;
@@ -46,6 +46,8 @@
     Members(Members),
     /// Loads that all instances of the failure domain see together.
     DomainLoads(Vec<TargetLoad>),
+    /// Openings of callers that all instances of the failure domain have seen together.
+    DomainCallers(Vec<CallerTotal>),
     /// A request for the status, with the channel for the response.
     StatusQuery(oneshot::Sender<(CoreStatus, Millis)>),
 }
--- a/crates/lab/src/pressure/events.rs
+++ b/crates/lab/src/pressure/events.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use ids::Micros;
-use steer::{Evidence, TargetLoad};
+use steer::Evidence;
 
 use super::callers::{Answer, CallerPacket};
+use super::exchange::Report;
 use super::targets::Job;
 
 /// Something that happens at a time. The first index is that of the stream, request, flow,
@@ -26,9 +27,9 @@
     /// An instance reports its load, the report reaches the root of its domain, the root sends the
     /// sums of the domain, and they reach an instance.
     Report(usize),
-    AtRoot(usize, Vec<TargetLoad>),
+    AtRoot(usize, Report),
     Sum(usize),
-    Sums(usize, Vec<TargetLoad>),
+    Sums(usize, Report),
     Evidence(usize, Evidence),
     Fault(usize),
     /// The store shows whether a target is there.
--- a/crates/lab/src/pressure/exchange.rs
+++ b/crates/lab/src/pressure/exchange.rs
@@ -4,11 +4,18 @@
 use std::collections::BTreeMap;
 
 use ids::{Micros, Millis};
-use steer::{TargetLoad, Token};
+use steer::{CallerSums, CallerTotal, TargetLoad, Token};
 
 /// Age after which the pending requests of an instance no longer count.
 const MAX_REPORT_AGE: Millis = Millis(1_000);
 
+/// What an instance or a domain reports.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    pub loads: Vec<TargetLoad>,
+    pub callers: Vec<CallerTotal>,
+}
+
 /// The root of a failure domain.
 #[derive(Debug, Default)]
 pub struct Root {
@@ -16,11 +23,14 @@
     reports: BTreeMap<usize, (Micros, Vec<TargetLoad>)>,
     /// Requests answered since the last sums, by token.
     answered: BTreeMap<u32, TargetLoad>,
+    callers: CallerSums,
 }
 
 impl Root {
     /// Records the report of an instance.
-    pub fn receive(&mut self, now: Micros, instance: usize, loads: Vec<TargetLoad>) {
+    pub fn receive(&mut self, now: Micros, instance: usize, report: Report) {
+        let Report { loads, callers } = report;
+        self.callers.add(&callers);
         for load in &loads {
             sum_of(&mut self.answered, load.token).add_seen(load);
         }
@@ -28,14 +38,17 @@
     }
 
     /// Returns the sums over all instances and starts to count answers anew.
-    pub fn take_sums(&mut self, now: Micros) -> Vec<TargetLoad> {
+    pub fn take_sums(&mut self, now: Micros) -> Report {
         self.reports
             .retain(|_, (at, _)| now.since(*at) <= MAX_REPORT_AGE);
         let mut sums = std::mem::take(&mut self.answered);
         for load in self.reports.values().flat_map(|(_, loads)| loads) {
             sum_of(&mut sums, load.token).pending += load.pending;
         }
-        sums.into_values().collect()
+        Report {
+            loads: sums.into_values().collect(),
+            callers: self.callers.take(now),
+        }
     }
 }
 
--- a/crates/lab/src/pressure/fleet.rs
+++ b/crates/lab/src/pressure/fleet.rs
@@ -4,11 +4,11 @@
 
 use ids::{Micros, hash_of};
 use smol_str::{SmolStr, format_smolstr};
-use steer::{FlowId, Resend, Settings, Steer, TargetLoad, Verdict};
+use steer::{FlowId, Resend, Settings, Steer, Verdict};
 
 use super::callers::CallerPacket;
 use super::events::{Event, Events};
-use super::exchange::Root;
+use super::exchange::{Report, Root};
 use super::scenario::Scenario;
 use super::store::{Store, domain_name};
 use super::targets::Target;
@@ -219,23 +219,26 @@
         }
     }
 
-    /// Takes the loads that an instance reports, if it is connected.
-    pub fn report(&mut self, events: &mut Events, index: usize) -> Option<Vec<TargetLoad>> {
+    /// Takes the report of an instance, if it is connected.
+    pub fn report(&mut self, events: &mut Events, index: usize) -> Option<Report> {
         let instance = &mut self.instances[index];
         let steer = instance.steer.as_mut()?;
         let interval = REPORT_INTERVALS_US[usize::from(!steer.has_queued_requests())];
         events.add_after(interval, Event::Report(index));
-        let loads = steer.take_own_loads();
-        (!instance.is_cut_off).then_some(loads)
+        let report = Report {
+            loads: steer.take_own_loads(),
+            callers: steer.take_own_callers(events.now()),
+        };
+        (!instance.is_cut_off).then_some(report)
     }
 
     /// Records a report at the root of its domain.
-    pub fn on_report(&mut self, now: Micros, index: usize, loads: Vec<TargetLoad>) {
-        self.domains[self.instances[index].domain].receive(now, index, loads);
+    pub fn on_report(&mut self, now: Micros, index: usize, report: Report) {
+        self.domains[self.instances[index].domain].receive(now, index, report);
     }
 
     /// Takes the sums of a domain and the instances that get them.
-    pub fn sums(&mut self, events: &mut Events, domain: usize) -> (Vec<usize>, Vec<TargetLoad>) {
+    pub fn sums(&mut self, events: &mut Events, domain: usize) -> (Vec<usize>, Report) {
         let members = self.instances.iter().enumerate().filter(|(_, instance)| {
             instance.domain == domain && !instance.is_cut_off && instance.steer.is_some()
         });
@@ -250,9 +253,10 @@
     }
 
     /// Applies the sums of a domain.
-    pub fn on_sums(&mut self, now: Micros, index: usize, loads: &[TargetLoad]) {
+    pub fn on_sums(&mut self, now: Micros, index: usize, sums: &Report) {
         if let Some(steer) = self.instances[index].steer.as_mut() {
-            steer.on_domain_loads(now, loads);
+            steer.on_domain_loads(now, &sums.loads);
+            steer.on_domain_callers(now, &sums.callers);
         }
     }
 }
--- a/crates/lab/src/pressure/model.rs
+++ b/crates/lab/src/pressure/model.rs
@@ -112,9 +112,9 @@
             Event::CoreTimer(instance) => self.on_core_timer(instance),
             Event::Sweep(instance) => self.fleet.on_sweep(&mut self.events, instance),
             Event::Report(instance) => self.on_report(instance),
-            Event::AtRoot(instance, loads) => self.fleet.on_report(now, instance, loads),
+            Event::AtRoot(instance, report) => self.fleet.on_report(now, instance, report),
             Event::Sum(domain) => self.on_sum(domain),
-            Event::Sums(instance, loads) => self.fleet.on_sums(now, instance, &loads),
+            Event::Sums(instance, sums) => self.fleet.on_sums(now, instance, &sums),
             Event::Evidence(instance, item) => self.fleet.on_evidence(now, instance, &item),
             Event::Fault(index) => return self.on_fault(self.scenario.faults[index].1),
             Event::Publish(target) => self.on_publish(target),
@@ -249,15 +249,15 @@
     }
 
     fn on_report(&mut self, instance: usize) {
-        if let Some(loads) = self.fleet.report(&mut self.events, instance) {
-            self.exchange(Event::AtRoot(instance, loads));
+        if let Some(report) = self.fleet.report(&mut self.events, instance) {
+            self.exchange(Event::AtRoot(instance, report));
         }
     }
 
     fn on_sum(&mut self, domain: usize) {
-        let (members, loads) = self.fleet.sums(&mut self.events, domain);
+        let (members, sums) = self.fleet.sums(&mut self.events, domain);
         for instance in members {
-            self.exchange(Event::Sums(instance, loads.clone()));
+            self.exchange(Event::Sums(instance, sums.clone()));
         }
     }
 
--- a/crates/lab/tests/pressure.rs
+++ b/crates/lab/tests/pressure.rs
@@ -193,6 +193,25 @@
 }
 
 cases! {
+    // Guards against a caller that has an allowance at each of 26 instances.
+    one_caller_leaves_the_others_their_share_in_a_large_fleet => {
+        check_other_callers(&run(&cases::one_caller(FULL)));
+    }
+
+    // Guards against a caller that takes the capacity of the other callers of the most urgent class,
+    // which fits without it. Admission may take a second to show that the class does not fit, and
+    // another one to limit the caller.
+    one_urgent_caller_leaves_the_others_their_share => {
+        let mut case = cases::one_caller(FULL);
+        let last = case.streams.last_mut().expect("the stream of one caller");
+        *last = Stream { class: URGENT, rate_per_s: 3_000.0, ..last.clone() };
+        let results = run(&case);
+        let others = usual_requests(&results);
+        let others = others.select(|request| request.class == URGENT && request.asked_at >= seconds(5.0));
+        let in_time = others.share(Outcome::InTime);
+        assert!(in_time >= URGENT_GOAL, "{in_time:.4} in time");
+    }
+
     target_runs_two_queues_eight_and_turns_the_rest_away => {
         let mut target = Target::new(0, 0, 0.5);
         let mut job = Job { work_us: 1_000, ..Job::default() };
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -12,8 +12,8 @@
 
 use ids::{Micros, Millis, hash_of};
 
+use crate::caller_shares::{CallerShares, Standing};
 use crate::demand::{Demands, MIN_SHARE};
-use crate::fairness::Fairness;
 use crate::load::TargetLoad;
 use crate::model::{Priority, RouteTerms};
 
@@ -140,7 +140,9 @@
     short_rate: f32,
     demands: Demands,
     /// Openings of each caller. Present while room is short.
-    fairness: Option<Box<Fairness>>,
+    callers: Option<Box<CallerShares>>,
+    /// Share of the most urgent openings that fits. Only callers over their share are refused for it.
+    urgent_share: f32,
 }
 
 impl Default for Admission {
@@ -151,7 +153,8 @@
             room_s: 0.0,
             short_rate: 0.0,
             demands: Demands::default(),
-            fairness: None,
+            callers: None,
+            urgent_share: 1.0,
         }
     }
 }
@@ -193,6 +196,9 @@
             self.short_rate = answer_rate;
             let rate = (DECREASE_RATE * excess).min(MAX_DECREASE_RATE);
             let factor = (-rate * elapsed).exp().max(1.0 - MAX_DECREASE * excess);
+            if share <= MIN_SHARE {
+                self.urgent_share = (self.urgent_share * factor).max(MIN_SHARE);
+            }
             (share * factor).max(MIN_SHARE)
         } else {
             let room =
@@ -200,12 +206,15 @@
             let previous_room_s = self.room_s;
             self.room_s += elapsed * room;
             let factor = growth(previous_room_s, self.room_s).exp();
-            (share * factor.min(self.increase_limit(answer_rate))).min(1.0)
+            let factor = factor.min(self.increase_limit(answer_rate));
+            self.urgent_share = (self.urgent_share * factor).min(1.0);
+            (share * factor).min(1.0)
         };
         if self.share >= 1.0 {
-            self.fairness = None;
-        } else if self.fairness.is_none() {
-            self.fairness = Some(Box::default());
+            self.callers = None;
+            self.urgent_share = 1.0;
+        } else if self.callers.is_none() {
+            self.callers = Some(Box::default());
         }
     }
 
@@ -224,6 +233,10 @@
     /// Returns the reason if the flow is refused.
     pub fn decide(&mut self, now: Micros, request: &Request) -> Result<(), Refusal> {
         let decision = self.judge(now, request);
+        if let Some(callers) = &mut self.callers {
+            let priority = request.terms.priority;
+            callers.record_opening(now, priority, request.caller, decision.is_ok());
+        }
         if decision == Err(Refusal::Deadline) {
             // Urgent requests that would all be late are demand for which others have to make room.
             // Deferred openings do not count: callers try again, and urgent requests would soon be
@@ -246,29 +259,63 @@
         if timeout > Millis(0) && request.expected_time > timeout {
             return Err(Refusal::Deadline);
         }
+        let caller = request.caller;
+        let Some(callers) = &mut self.callers else {
+            return Ok(());
+        };
         let share = self.demands.priority_share(share, priority);
+        let is_first = share >= 1.0;
+        let share = if is_first { self.urgent_share } else { share };
         if share >= 1.0 {
             return Ok(());
         }
-        let fairness = self.fairness.as_mut();
-        let is_excess =
-            fairness.is_some_and(|fairness| fairness.exceeds_share(now, priority, request.caller));
+        let standing = callers.standing(now, priority, caller, is_first);
+        let is_excess = standing != Standing::Regular;
         self.demands.record_opening(priority, is_excess);
-        let share = self.demands.caller_share(share, priority, is_excess);
+        // Callers that are not over their share are never refused in the most urgent priority.
+        let regular_share = if is_first {
+            1.0
+        } else {
+            self.demands.caller_share(share, priority, false)
+        };
+        let share = if is_excess {
+            self.demands.caller_share(share, priority, true)
+        } else {
+            regular_share
+        };
         let queue_limit = request.terms.latency_goal.0 as f32 * DEFER_SHARE;
-        let has_room = request.is_target_free || request.expected_time.0 as f32 <= queue_limit;
-        if !has_room && turn_position(now, request.caller) >= f64::from(share) {
+        let is_domain_excess = matches!(standing, Standing::DomainExcess(_));
+        let is_soon = request.expected_time.0 as f32 <= queue_limit;
+        let has_room = request.is_target_free || is_soon && !is_domain_excess;
+        let is_admitted = has_room
+            || match standing {
+                Standing::DomainExcess(factor) => {
+                    callers.admits_part(priority, caller, share.max(regular_share / factor))
+                }
+                _ => turn_position(now, caller) < f64::from(share),
+            };
+        if !is_admitted {
             return Err(if is_excess {
                 Refusal::CallerShare
             } else {
                 Refusal::NoRoom
             });
         }
-        if let Some(fairness) = &mut self.fairness {
-            fairness.record(now, priority, request.caller);
+        if !is_first {
+            callers.record_in_sketch(now, priority, caller);
         }
         Ok(())
     }
+
+    /// Returns what is known of the callers while room is short.
+    pub fn caller_shares(&self) -> Option<&CallerShares> {
+        self.callers.as_deref()
+    }
+
+    /// Returns what is known of the callers while room is short, to be changed.
+    pub fn caller_shares_mut(&mut self) -> Option<&mut CallerShares> {
+        self.callers.as_deref_mut()
+    }
 }
 
 fn seconds(time: Millis) -> f32 {
--- a/crates/steer/src/fairness.rs
+++ b/crates/steer/src/fairness.rs
@@ -33,7 +33,7 @@
 
 /// Multiple of the mean of the other addresses that an address may open. The counts of addresses
 /// that open at equal rates differ by up to a factor of two, because of the halving.
-const MAX_RATIO: f32 = 2.5;
+pub(crate) const MAX_RATIO: f32 = 2.5;
 
 /// Number of openings that no address exceeds its share with. Less than that is within the
 /// variation of callers that open few flows.
@@ -97,12 +97,10 @@
 impl Fairness {
     /// Halves the counters for the periods that have passed.
     fn advance(&mut self, now: Micros) {
-        let period = now.0 / (PERIOD.0 * 1_000);
-        let halvings = period.saturating_sub(self.period).min(MAX_HALVINGS);
+        let halvings = take_halvings(&mut self.period, now);
         if halvings == 0 {
             return;
         }
-        self.period = period;
         for counter in self.rows.iter_mut().flatten() {
             *counter = counter.checked_shr(halvings as u32).unwrap_or(0);
         }
@@ -179,6 +177,16 @@
     }
 }
 
+/// Returns how often counts have to be halved since a period, and sets it to the present one.
+pub(crate) fn take_halvings(period: &mut u64, now: Micros) -> u64 {
+    let present = now.0 / (PERIOD.0 * 1_000);
+    let halvings = present.saturating_sub(*period).min(MAX_HALVINGS);
+    if halvings > 0 {
+        *period = present;
+    }
+    halvings
+}
+
 /// Returns the counter of an address in each row.
 fn positions(priority: Priority, caller: Ipv4Addr) -> [usize; 2] {
     let hash = hash_of(COUNTER_SEED ^ u64::from(priority.0), &caller.octets());
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,6 +15,8 @@
 //! configuration before it is published.
 
 pub mod admission;
+pub mod caller_shares;
+pub mod caller_total;
 pub mod catalog;
 pub mod cold_start;
 mod demand;
@@ -45,6 +47,7 @@
 pub mod verdict;
 pub mod view;
 
+pub use caller_total::{CallerBitmap, CallerSums, CallerTotal};
 pub use catalog::{Applied, Catalog};
 pub use domains::DomainState;
 pub use evidence::{Evidence, Observation, UnansweredPacket};
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -43,6 +43,8 @@
     pub(crate) has_queued_requests: bool,
     /// Since when requests have been waiting in all reports.
     pub(crate) queued_since: Micros,
+    /// Time from which on the next report of callers may be sent.
+    pub(crate) callers_due_at: Micros,
     pub(crate) domain_loads_at: Option<Micros>,
     /// From when on reports show that a target is alive.
     pub(crate) alive_from: Micros,
@@ -75,6 +77,7 @@
             cold_start: ColdStart::default(),
             has_queued_requests: false,
             queued_since: Micros(0),
+            callers_due_at: Micros(0),
             domain_loads_at: None,
             alive_from: Micros(0),
             loaded_targets: Vec::new(),
