Spill new flows to other failure domains by their load

Cause: an instance knows the load of its own domain only. When its targets are busy, it compares them with those of other domains by its own counts, in which the others look empty, and below three rounds of waiting it keeps flows that another domain could serve sooner.

The root of a domain asks one known instance of each other domain for a summary (Relay.ReadLoads) while requests wait or flows are spilled, at most each 400 ms, and passes the answers down once with its totals. At each total, the demand of the domain's callers is divided such that requests end equally soon everywhere, and the share of new flows that may go elsewhere moves a bounded part of the way to this division. A flow goes if it gains 10 ms beyond the way, which handshakes measure. If no other domain is known to have targets and not to be short of capacity, placement is as before.

Metric spill_share, log lines "spill changed" and "loads not read".

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -158,7 +158,8 @@
         self.context.relay.receive_from_upstream(&part.evidence);
         if let Some(loads) = &part.loads {
             let loads = load_exchange::decode(loads);
-            self.context.relay.send_loads_down(loads);
+            let relay = &self.context.relay;
+            relay.send_loads_down(loads, part.remote_loads.clone());
         }
         if part.is_complete {
             if !view_part::has_orders(&part) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod peer;
 mod recorder;
 mod relay;
+pub mod remote_loads;
 pub mod store_timing;
 pub mod view_part;
 mod view_reader;
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::recorder::NoteRecorder;
+use crate::recorder::{NoteRecorder, to_milli};
 use crate::relay::RelayService;
 use crate::view_reader::LoopEvent;
 
@@ -111,6 +111,9 @@
                     if Instant::now() >= loads_at {
                         let loads = self.steer.take_own_loads();
                         self.relay.publish_loads(&loads);
+                        if self.steer.needs_remote_loads(self.clock.now()) {
+                            self.relay.ask_remote_loads();
+                        }
                         loads_at = Instant::now() + self.load_interval();
                     }
                 }
@@ -234,6 +237,15 @@
                 self.steer.on_domain_loads(now, &loads);
                 return;
             }
+            LoopEvent::RemoteLoads(loads) => {
+                self.steer.on_remote_loads(now, &loads);
+                return;
+            }
+            LoopEvent::SummaryQuery(reply) => {
+                // The caller may have given up in the meantime.
+                let _ = reply.send(self.steer.domain_summary(now));
+                return;
+            }
             LoopEvent::StatusQuery(reply) => {
                 let age = Millis(self.view_confirmed_at.elapsed().as_millis() as u64);
                 // The HTTP request may have been cancelled in the meantime.
@@ -268,6 +280,12 @@
         self.metrics
             .targets_cold
             .set(self.steer.cold_count(now) as i64);
+        for (service, share) in self.steer.spill_shares(now) {
+            self.metrics
+                .spill_share
+                .with_label_values(&[service.as_str()])
+                .set(to_milli(share));
+        }
         self.metrics
             .view_revision
             .set(self.steer.view().revision().number as i64);
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -61,7 +61,9 @@
     Some((decoded, Millis(peer.heard_ms)))
 }
 
-async fn connect(address: SocketAddr) -> Result<RelayClient<Channel>, tonic::transport::Error> {
+pub(crate) async fn connect(
+    address: SocketAddr,
+) -> Result<RelayClient<Channel>, tonic::transport::Error> {
     let endpoint =
         Endpoint::from_shared(format!("http://{address}"))?.connect_timeout(CALL_TIMEOUT);
     let channel = endpoint.connect().await?;
--- a/crates/edge/src/recorder.rs
+++ b/crates/edge/src/recorder.rs
@@ -173,6 +173,17 @@
             Note::TargetRecovered { target } => {
                 info!(self.log, "target heard again"; "target" => %target);
             }
+            Note::SpillChanged {
+                service,
+                previous,
+                share,
+                own_pending,
+                spilled_pending,
+            } => {
+                info!(self.log, "spill changed"; "service" => %service,
+                    "before_milli" => to_milli(previous), "share_milli" => to_milli(share),
+                    "own_pending" => own_pending, "spilled_pending" => spilled_pending);
+            }
             Note::ViewChanged(change) => self.record_view_change(view, change),
         }
     }
@@ -239,6 +250,11 @@
     }
 }
 
+/// Returns a share in thousandths.
+pub(crate) fn to_milli(share: f32) -> i64 {
+    (share * 1_000.0) as i64
+}
+
 fn to_seconds(duration: ids::Millis) -> f64 {
     duration.0 as f64 / 1_000.0
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -14,13 +14,14 @@
 use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::Relay;
 use wire::steering::{
-    Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ReadLoadsReply,
+    DomainLoad, Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ReadLoadsReply,
     ReadLoadsRequest, ViewPart,
 };
 
 use crate::clock::Clock;
 use crate::evidence::EvidenceDeduplicator;
 use crate::load_exchange::{self, LoadExchange};
+use crate::remote_loads::{self, RemoteLoads};
 use crate::view_reader::LoopEvent;
 use crate::{evidence, peer, view_part};
 
@@ -65,6 +66,7 @@
     follower_count: Arc<AtomicU64>,
     deduplicator: Arc<Mutex<EvidenceDeduplicator>>,
     loads: Arc<Mutex<LoadExchange>>,
+    remote_loads: RemoteLoads,
     clock: Clock,
     log: Logger,
 }
@@ -97,6 +99,7 @@
             follower_count: Arc::default(),
             deduplicator: Arc::default(),
             loads: Arc::default(),
+            remote_loads: RemoteLoads::new(log.clone()),
             clock,
             log,
         }
@@ -140,7 +143,8 @@
         let sums = lock(&self.loads).take_sums(Instant::now(), own);
         let upstream = lock(&self.upstream).clone();
         let Some(upstream) = upstream else {
-            self.send_loads_down(sums);
+            let remote_loads = self.remote_loads.take(Instant::now());
+            self.send_loads_down(sums, remote_loads);
             return;
         };
         // A full queue means that the upstream peer is too slow; the next report replaces this one.
@@ -150,14 +154,30 @@
         });
     }
 
-    /// Passes the loads of the failure domain to the packet loop and to followers.
-    pub fn send_loads_down(&self, loads: Vec<TargetLoad>) {
+    /// Asks the other failure domains for their load, unless this instance follows another one, which
+    /// then does so.
+    pub fn ask_remote_loads(&self) {
+        if lock(&self.upstream).is_some() {
+            return;
+        }
+        let known = lock(&self.peers).other_domains();
+        self.remote_loads.ask(Instant::now(), known);
+    }
+
+    /// Passes the loads of the failure domain, and those of other ones that are new, to the packet
+    /// loop and to followers.
+    pub fn send_loads_down(&self, loads: Vec<TargetLoad>, remote_loads: Vec<DomainLoad>) {
+        // The queue is unbounded and closes only when the process ends.
+        if !remote_loads.is_empty() {
+            let decoded = remote_loads.iter().map(remote_loads::decode).collect();
+            let _ = self.events.send(LoopEvent::RemoteLoads(decoded));
+        }
         if self.has_followers() {
             let mut part = lock(&self.published).heartbeat_part();
             part.loads = Some(load_exchange::encode(&loads));
+            part.remote_loads = remote_loads;
             self.send(part);
         }
-        // The queue is unbounded and closes only when the process ends.
         let _ = self.events.send(LoopEvent::DomainLoads(loads));
     }
 
@@ -374,7 +394,8 @@
         &self,
         _: Request<ReadLoadsRequest>,
     ) -> Result<Response<ReadLoadsReply>, Status> {
-        Err(Status::unimplemented("no summary of the loads"))
+        let reply = remote_loads::query_summary(&self.events).await?;
+        Ok(Response::new(reply))
     }
 
     type FollowStream = Pin<Box<dyn Stream<Item = Result<ViewPart, Status>> + Send>>;
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
 use steer::status::CoreStatus;
-use steer::{Change, Evidence, Members, Peers, Revision, TargetLoad, Update};
+use steer::{Change, Evidence, Members, Peers, RemoteLoad, Revision, TargetLoad, Update};
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::Clock;
@@ -46,6 +46,10 @@
     Members(Members),
     /// Loads that all instances of the failure domain see together.
     DomainLoads(Vec<TargetLoad>),
+    /// Loads of other failure domains.
+    RemoteLoads(Vec<RemoteLoad>),
+    /// A request for the load of the failure domain, with the channel for the response.
+    SummaryQuery(oneshot::Sender<Vec<RemoteLoad>>),
     /// A request for the status, with the channel for the response.
     StatusQuery(oneshot::Sender<(CoreStatus, Millis)>),
 }
--- a/crates/edge/tests/kit/instance.rs
+++ b/crates/edge/tests/kit/instance.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
-use super::{METRICS_PORT, PACKET_PORT, PEER_PORT, READY_PORT};
+use super::{LINK_MBPS, METRICS_PORT, PACKET_PORT, PEER_PORT, READY_PORT};
 
 pub struct Instance {
     process: Child,
@@ -38,12 +38,16 @@
         link_mbps: u32,
         bounds: &str,
     ) -> Self {
-        let settings_file = settings_file(host);
         let settings = settings_text(host, seeds, store, link_mbps).replacen(
             "[bounds]",
             &format!("[bounds]\n{bounds}"),
             1,
         );
+        Self::start_with_settings(host, &settings)
+    }
+
+    fn start_with_settings(host: Ipv4Addr, settings: &str) -> Self {
+        let settings_file = settings_file(host);
         std::fs::write(&settings_file, settings).unwrap();
         // The log is kept after the test, so that failures can be analyzed.
         let log = File::options()
@@ -65,6 +69,18 @@
         }
     }
 
+    /// Starts an instance in another failure domain than `a`.
+    pub fn start_in_domain(
+        host: Ipv4Addr,
+        seeds: &[Ipv4Addr],
+        store: SocketAddr,
+        domain: &str,
+    ) -> Self {
+        let mut settings = settings_text(host, seeds, store, LINK_MBPS);
+        settings = settings.replacen("zone = \"a\"", &format!("zone = \"{domain}\""), 1);
+        Self::start_with_settings(host, &settings)
+    }
+
     pub fn uptime(&self) -> Duration {
         self.started_at.elapsed()
     }
--- a/crates/steer/src/domain_loads.rs
+++ b/crates/steer/src/domain_loads.rs
@@ -128,6 +128,7 @@
                 .or_default()
                 .observe(now, &load.evidence());
         }
+        self.update_spill(now);
     }
 
     /// Returns the earliest time of the answers that a report counts which arrives now, or `None` if
--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -109,6 +109,7 @@
             };
             if tried.as_slice().len() == 1 {
                 self.record_handshake(handshake_time);
+                self.record_way(id, handshake_time);
             }
             if previous_target != id {
                 self.adjust_counts(previous_target, -1, -1);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -12,7 +12,8 @@
 //! `stall_sum` groups the targets, `tokens` tells targets with equal tokens apart, [`cold_start`] limits the flows of targets that have just started, [`peers`]
 //! decides which instance reads the published state from the store, [`store_turn`] decides when the
 //! others call it, and [`status`] reports the state to operators. [`document_check`] examines a
-//! configuration before it is published.
+//! configuration before it is published. [`remote_loads`] and [`spill`] decide which flows go to other
+//! failure domains.
 
 pub mod admission;
 pub mod catalog;
@@ -33,9 +34,11 @@
 mod passive_health;
 pub mod peers;
 pub mod placement;
+pub mod remote_loads;
 pub mod revision;
 pub mod service_index;
 pub mod settings;
+pub mod spill;
 mod stall_sum;
 pub mod status;
 pub mod steer;
@@ -55,6 +58,7 @@
 };
 pub use packet::{FlowId, PacketKind, Segment, Token};
 pub use peers::{Members, Peer, Peers};
+pub use remote_loads::RemoteLoad;
 pub use revision::Revision;
 pub use settings::{ColdLimit, Settings};
 pub use steer::Steer;
--- a/crates/steer/src/opening.rs
+++ b/crates/steer/src/opening.rs
@@ -62,6 +62,7 @@
             view: &self.view,
             settings: &self.settings,
             cold_start: &self.cold_start,
+            spill: self.spill.service(service),
             now,
             service,
         };
@@ -120,6 +121,7 @@
             view: &self.view,
             settings: &self.settings,
             cold_start: &self.cold_start,
+            spill: self.spill.service(service),
             now,
             service,
         };
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -230,6 +230,24 @@
             .map(|known| known.peer.address)
     }
 
+    /// Returns the known peers of each other failure domain, the best ones first.
+    pub fn other_domains(&self) -> Vec<(SmolStr, Vec<SocketAddr>)> {
+        let others = self.known.values().map(|known| &known.peer);
+        let others = others.filter(|peer| peer.domain != self.own.domain);
+        let mut ranks: Vec<_> = others
+            .map(|peer| (peer.domain.clone(), peer.rank(), peer.address))
+            .collect();
+        ranks.sort_unstable();
+        let mut domains: Vec<(SmolStr, Vec<SocketAddr>)> = Vec::new();
+        for (domain, _, address) in ranks {
+            match domains.last_mut() {
+                Some((known, addresses)) if *known == domain => addresses.push(address),
+                _ => domains.push((domain, vec![address])),
+            }
+        }
+        domains
+    }
+
     /// Returns the best peers of a failure domain with the time since each was last heard from.
     pub fn best_of_domain(&self, now: Micros, domain: &str) -> Vec<(Peer, Millis)> {
         let mut domain_peers: Vec<&KnownPeer> = self
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::model::TargetId;
 use crate::service_index::{DomainTargets, nth_target};
 use crate::settings::Settings;
+use crate::spill::ServiceSpill;
 use crate::view::{TargetRecord, View};
 
 /// Factor on the load of a target during its slow start, for deployments without a limit on cold
@@ -126,6 +127,8 @@
     pub settings: &'a Settings,
     /// Flows of cold targets.
     pub cold_start: &'a ColdStart,
+    /// Share of the flows that goes to other failure domains, if their load is known.
+    pub spill: Option<&'a ServiceSpill>,
     /// The present time.
     pub now: Micros,
     /// The service.
@@ -136,13 +139,22 @@
     /// Chooses a target, except those already tried.
     ///
     /// Of a few random targets, the one with the shortest expected time for a request wins. A target
-    /// of another failure domain is chosen if those of this domain are busy or do not respond.
+    /// of another failure domain is chosen if those of this domain do not respond. If those of this
+    /// domain are busy, a share of the flows goes to domains whose load is known. If none is known,
+    /// the counts of the own domain decide.
     pub fn choose(&self, tried: &[TargetId], random: &mut impl Rng) -> Option<Choice> {
         let targets = self.view.service_targets(self.service)?;
         let own_lists = targets.own_list(&self.settings.domain);
         let own_lists = own_lists.filter(|list| !self.view.is_evacuated(&list.domain));
         let own = self.sample(own_lists.into_iter(), tried, random);
         let own_best = own.best(random);
+        if let (Some(best), Some(spill)) = (own_best, self.spill)
+            && !own.is_avoided
+            && spill.has_open_domain(self.now)
+        {
+            let spilled = self.spill(spill, &best.choice, tried, random);
+            return Some(spilled.unwrap_or(best.choice));
+        }
         let is_own_busy =
             own_best.is_some_and(|best| best.choice.rounds > self.settings.busy_requests_per_slot);
         if own_best.is_some() && !own.is_avoided && !is_own_busy {
@@ -167,6 +179,29 @@
         })
     }
 
+    /// Returns a target of another failure domain if the flow belongs to the share that goes there and
+    /// gains enough.
+    fn spill(
+        &self,
+        spill: &ServiceSpill,
+        own: &Choice,
+        tried: &[TargetId],
+        random: &mut impl Rng,
+    ) -> Option<Choice> {
+        let is_own_busy = own.rounds > self.settings.busy_requests_per_slot;
+        let domain = spill.draw(self.now, is_own_busy, random)?;
+        if domain.rounds + domain.cost >= own.rounds || self.view.is_evacuated(domain.name) {
+            return None;
+        }
+        let targets = self.view.service_targets(self.service)?;
+        let list = targets.own_list(domain.name);
+        let sample = self.sample(list.into_iter(), tried, random);
+        let best = sample.best(random).filter(|_| !sample.is_avoided)?.choice;
+        // Counts of the own domain lack the requests of others.
+        let rounds = best.rounds.max(domain.rounds);
+        (rounds + domain.cost < own.rounds).then_some(Choice { rounds, ..best })
+    }
+
     /// Returns a random sample of the targets in some lists that may get a flow.
     fn sample<'l>(
         &self,
--- a/crates/steer/src/service_index.rs
+++ b/crates/steer/src/service_index.rs
@@ -91,6 +91,11 @@
 }
 
 impl ServiceIndex {
+    /// Returns the names of the services that have targets.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &SmolStr> {
+        self.services.keys()
+    }
+
     /// Returns the targets of a service, unless it has none.
     pub(crate) fn service(&self, name: &str) -> Option<&ServiceTargets> {
         self.services.get(name)
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -19,6 +19,7 @@
 use crate::peers::Members;
 use crate::revision::Revision;
 use crate::settings::Settings;
+use crate::spill::SpillState;
 use crate::verdict::{Destination, Note, Verdict};
 use crate::view::View;
 
@@ -40,6 +41,7 @@
     pub(crate) route_loads: HashMap<SocketAddrV4, RouteLoad>,
     pub(crate) last_response_at: Micros,
     pub(crate) cold_start: ColdStart,
+    pub(crate) spill: SpillState,
     pub(crate) has_queued_requests: bool,
     /// Since when requests have been waiting in all reports.
     pub(crate) queued_since: Micros,
@@ -73,6 +75,7 @@
             route_loads: HashMap::new(),
             last_response_at: Micros(0),
             cold_start: ColdStart::default(),
+            spill: SpillState::default(),
             has_queued_requests: false,
             queued_since: Micros(0),
             domain_loads_at: None,
--- a/crates/steer/src/verdict.rs
+++ b/crates/steer/src/verdict.rs
@@ -202,6 +202,19 @@
         /// The target.
         target: TargetId,
     },
+    /// The share of a service's new flows that goes to other failure domains changed.
+    SpillChanged {
+        /// The service.
+        service: SmolStr,
+        /// The share in the last note.
+        previous: f32,
+        /// The share.
+        share: f32,
+        /// Requests pending in the own failure domain.
+        own_pending: f32,
+        /// Requests of the own domain's callers pending in other domains.
+        spilled_pending: f32,
+    },
     /// The view changed.
     ViewChanged(ViewChange),
 }
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -252,6 +252,11 @@
             .filter_map(|id| self.records.get(&id))
     }
 
+    /// Returns the names of the services that have targets.
+    pub(crate) fn service_names(&self) -> impl Iterator<Item = &SmolStr> {
+        self.services.names()
+    }
+
     /// Returns the targets of a service by failure domain, unless it has none.
     pub fn service_targets(&self, service: &str) -> Option<&ServiceTargets> {
         self.services.service(service)
