Pass summaries between failure domains in the pressure model

Cause: the model's roots exchange no summaries, so it does not measure the spill-over, and no case has callers that differ between domains while all targets together have room.

Roots ask each other's domains with the delay and loss of the scenario, and drop answers after the timeout of a call. A new case has twice the callers in one domain at 70% of the capacity of all targets. A generator of its own decides which summaries are lost, so that calm runs stay the same.

--- a/crates/lab/src/pressure/cases.rs
+++ b/crates/lab/src/pressure/cases.rs
@@ -171,16 +171,7 @@
     let sum: f64 = speeds.iter().cycle().take(per_domain).sum();
     let mean_speed = sum / per_domain as f64;
     case.speeds[0] = speeds.to_vec();
-    // The usual load of the first service takes 62.4 of 240 slots.
-    let factor = 0.7 * mean_speed * 240.0 / 62.4;
-    case.streams = case
-        .streams
-        .iter()
-        .map(|stream| {
-            let rate_per_s = stream.rate_per_s * factor;
-            Stream::new(stream.class, rate_per_s, stream.from, stream.until)
-        })
-        .collect();
+    at_load(&mut case, 0.7 * mean_speed);
     case
 }
 
@@ -193,6 +184,38 @@
     case
 }
 
+/// One failure domain has twice the callers of each other one until 3 s before the end, and all targets
+/// together have 70% of the load that they can process. Its callers alone need 1.05 times what its own
+/// targets can do.
+pub fn one_domain_heavy(size: Size) -> Scenario {
+    let mut case = named("a domain with twice the callers, 70%", size);
+    at_load(&mut case, 0.75 * 0.7);
+    let further = case.streams.iter().map(|stream| Stream {
+        domain: Some(0),
+        ..Stream::new(
+            stream.class,
+            stream.rate_per_s / 3.0,
+            seconds(3.0),
+            seconds(DURATION_S - 3.0),
+        )
+    });
+    let further: Vec<Stream> = further.collect();
+    case.streams.extend(further);
+    case
+}
+
+/// Sets the load of the first service's targets, as a part of their slots at speed 1, from that of
+/// calm runs.
+fn at_load(case: &mut Scenario, load: f64) {
+    // The usual load of the first service takes 62.4 of 240 slots.
+    let factor = load * 240.0 / 62.4;
+    let streams = case.streams.iter().map(|stream| {
+        let rate_per_s = stream.rate_per_s * factor;
+        Stream::new(stream.class, rate_per_s, stream.from, stream.until)
+    });
+    case.streams = streams.collect();
+}
+
 /// Sizes of the fleet that [`uneven_fleet`] is run with.
 pub const FLEETS: [usize; 4] = [2, 8, 80, 300];
 
@@ -219,6 +242,7 @@
         instances_change,
         all_return,
         unequal_speeds,
+        one_domain_heavy,
     ];
     let fleets = FLEETS.iter().map(|instances| {
         uneven_fleet(Size {
--- a/crates/lab/src/pressure/events.rs
+++ b/crates/lab/src/pressure/events.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ids::Micros;
-use steer::{Evidence, TargetLoad};
+use steer::{Evidence, RemoteLoad, TargetLoad};
 
 use super::callers::{Answer, CallerPacket};
 use super::targets::Job;
@@ -28,7 +28,11 @@
     Report(usize),
     AtRoot(usize, Vec<TargetLoad>),
     Sum(usize),
-    Sums(usize, Vec<TargetLoad>),
+    Sums(usize, Vec<TargetLoad>, Vec<RemoteLoad>),
+    /// The root of the first domain asked an instance of the second one for a summary at a time, and
+    /// the answer reaches the root.
+    AskLoads(usize, usize, Micros),
+    Summary(usize, Micros, Vec<RemoteLoad>),
     Evidence(usize, Evidence),
     Fault(usize),
     /// The store shows whether a target is there.
--- a/crates/lab/src/pressure/exchange.rs
+++ b/crates/lab/src/pressure/exchange.rs
@@ -4,11 +4,14 @@
 use std::collections::BTreeMap;
 
 use ids::{Micros, Millis};
-use steer::{TargetLoad, Token};
+use steer::{RemoteLoad, TargetLoad, Token};
 
 /// Age after which the pending requests of an instance no longer count.
 const MAX_REPORT_AGE: Millis = Millis(1_000);
 
+/// Interval at which a root asks other domains for summaries while it needs them.
+const ASK_INTERVAL: Millis = Millis(400);
+
 /// The root of a failure domain.
 #[derive(Debug, Default)]
 pub struct Root {
@@ -16,6 +19,9 @@
     reports: BTreeMap<usize, (Micros, Vec<TargetLoad>)>,
     /// Requests answered since the last sums, by token.
     answered: BTreeMap<u32, TargetLoad>,
+    asked_at: Option<Micros>,
+    /// Summaries of other domains since the last sums, and when they arrived.
+    summaries: Vec<(Micros, RemoteLoad)>,
 }
 
 impl Root {
@@ -37,6 +43,31 @@
         }
         sums.into_values().collect()
     }
+
+    /// Returns whether other domains are to be asked for summaries now.
+    pub fn is_time_to_ask(&mut self, now: Micros) -> bool {
+        let is_due = self.asked_at.is_none_or(|at| now.since(at) >= ASK_INTERVAL);
+        if is_due {
+            self.asked_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Records a summary of another domain.
+    pub fn receive_summary(&mut self, now: Micros, loads: &[RemoteLoad]) {
+        let loads = loads.iter().map(|load| (now, load.clone()));
+        self.summaries.extend(loads);
+    }
+
+    /// Returns the summaries that arrived since the last call.
+    pub fn take_summaries(&mut self, now: Micros) -> Vec<RemoteLoad> {
+        let summaries = self.summaries.drain(..);
+        let aged = summaries.map(|(at, load)| RemoteLoad {
+            age: Millis(load.age.0 + now.since(at).0),
+            ..load
+        });
+        aged.collect()
+    }
 }
 
 fn sum_of(sums: &mut BTreeMap<u32, TargetLoad>, token: Token) -> &mut TargetLoad {
--- a/crates/lab/src/pressure/fleet.rs
+++ b/crates/lab/src/pressure/fleet.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use ids::{Micros, hash_of};
+use ids::{Micros, Millis, hash_of};
 use smol_str::{SmolStr, format_smolstr};
-use steer::{FlowId, Resend, Settings, Steer, TargetLoad, Verdict};
+use steer::{FlowId, RemoteLoad, Resend, Settings, Steer, TargetLoad, Verdict};
 
 use super::callers::CallerPacket;
 use super::events::{Event, Events};
 use super::exchange::Root;
-use super::scenario::Scenario;
+use super::scenario::{SERVICES, Scenario};
 use super::store::{Store, domain_name};
 use super::targets::Target;
 use crate::Result;
@@ -17,6 +17,8 @@
 const SWEEP_INTERVAL_US: u64 = 1_000_000;
 /// Interval of load reports while requests wait for slots, and otherwise.
 const REPORT_INTERVALS_US: [u64; 2] = [100_000, 400_000];
+/// Timeout of a root that asks for a summary.
+const CALL_TIMEOUT: Millis = Millis(400);
 /// Time of an observation from one instance to another.
 const EVIDENCE_DELAY_US: u64 = 2_000;
 /// Seed that separates the hash of the fabric from other uses of the hash.
@@ -48,6 +50,9 @@
     pub generation: u32,
     /// Resets of opening packets by reason.
     pub refusals: BTreeMap<SmolStr, u64>,
+    /// Time, domain and share of the first service's flows that the first instance of the domain
+    /// spills, at each of its totals.
+    pub spill_shares: Vec<(Micros, usize, f32)>,
 }
 
 impl Fleet {
@@ -66,6 +71,7 @@
             store: Store::new(&scenario.classes, targets),
             generation: 0,
             refusals: BTreeMap::new(),
+            spill_shares: Vec::new(),
         }
     }
 
@@ -234,12 +240,58 @@
         self.domains[self.instances[index].domain].receive(now, index, loads);
     }
 
-    /// Takes the sums of a domain and the instances that get them.
-    pub fn sums(&mut self, events: &mut Events, domain: usize) -> (Vec<usize>, Vec<TargetLoad>) {
+    /// Returns the instances of a domain that take part in the exchange.
+    fn members(&self, domain: usize) -> Vec<usize> {
         let members = self.instances.iter().enumerate().filter(|(_, instance)| {
             instance.domain == domain && !instance.is_cut_off && instance.steer.is_some()
         });
-        let members: Vec<usize> = members.map(|(index, _)| index).collect();
+        members.map(|(index, _)| index).collect()
+    }
+
+    /// Returns the first instance of a domain, which stands for the root.
+    fn root(&self, domain: usize) -> Option<&Steer> {
+        let root = *self.members(domain).first()?;
+        self.instances[root].steer.as_ref()
+    }
+
+    /// Returns the domains whose loads the root of a domain asks for now.
+    pub fn domains_to_ask(&mut self, now: Micros, domain: usize) -> Vec<usize> {
+        let is_needed = self
+            .root(domain)
+            .is_some_and(|root| root.needs_remote_loads(now));
+        if !is_needed || !self.domains[domain].is_time_to_ask(now) {
+            return Vec::new();
+        }
+        let others = 0..self.domains.len();
+        others.filter(|other| *other != domain).collect()
+    }
+
+    /// Returns the summary of a domain's load.
+    pub fn summary(&self, now: Micros, domain: usize) -> Option<Vec<RemoteLoad>> {
+        self.root(domain).map(|root| root.domain_summary(now))
+    }
+
+    /// Records a summary of another domain at the root of a domain, which asked for it at a time.
+    pub fn on_summary(
+        &mut self,
+        now: Micros,
+        domain: usize,
+        asked_at: Micros,
+        loads: &[RemoteLoad],
+    ) {
+        if now.since(asked_at) <= CALL_TIMEOUT {
+            self.domains[domain].receive_summary(now, loads);
+        }
+    }
+
+    /// Takes the summaries of other domains that have reached the root of a domain.
+    pub fn take_summaries(&mut self, now: Micros, domain: usize) -> Vec<RemoteLoad> {
+        self.domains[domain].take_summaries(now)
+    }
+
+    /// Takes the sums of a domain and the instances that get them.
+    pub fn sums(&mut self, events: &mut Events, domain: usize) -> (Vec<usize>, Vec<TargetLoad>) {
+        let members = self.members(domain);
         let is_queued = members.iter().any(|index| {
             let steer = self.instances[*index].steer.as_ref();
             steer.is_some_and(Steer::has_queued_requests)
@@ -249,10 +301,26 @@
         (members, self.domains[domain].take_sums(events.now()))
     }
 
-    /// Applies the sums of a domain.
-    pub fn on_sums(&mut self, now: Micros, index: usize, loads: &[TargetLoad]) {
-        if let Some(steer) = self.instances[index].steer.as_mut() {
-            steer.on_domain_loads(now, loads);
+    /// Applies the sums of a domain, and summaries of others.
+    pub fn on_sums(
+        &mut self,
+        now: Micros,
+        index: usize,
+        loads: &[TargetLoad],
+        remote: &[RemoteLoad],
+    ) {
+        let domain = self.instances[index].domain;
+        let Some(steer) = self.instances[index].steer.as_mut() else {
+            return;
+        };
+        steer.on_remote_loads(now, remote);
+        steer.on_domain_loads(now, loads);
+        // The first instance of each domain.
+        if index == domain {
+            let mut shares = steer.spill_shares(now);
+            let share = shares.find(|(service, _)| *service == SERVICES[0]);
+            let share = share.map_or(0.0, |(_, share)| share);
+            self.spill_shares.push((now, domain, share));
         }
     }
 }
--- a/crates/lab/src/pressure/model.rs
+++ b/crates/lab/src/pressure/model.rs
@@ -10,7 +10,7 @@
 use super::events::{Event, Events};
 use super::fleet::Fleet;
 use super::results::Results;
-use super::scenario::Scenario;
+use super::scenario::{Exchange, Scenario};
 use super::targets::{Admission, Job, Target};
 use super::users::User;
 use crate::Result;
@@ -26,6 +26,8 @@
     pub(super) scenario: &'a Scenario,
     pub(super) events: Events,
     pub(super) random: SmallRng,
+    /// Losses of summaries, which must not change the load of a run.
+    summary_random: SmallRng,
     pub(super) requests: Vec<Request>,
     /// Users of each stream.
     pub(super) users: Vec<Vec<User>>,
@@ -53,6 +55,7 @@
         requests: model.requests,
         targets: model.targets,
         refusals: model.fleet.refusals,
+        spill_shares: model.fleet.spill_shares,
         capacity: model.capacity,
     })
 }
@@ -75,6 +78,7 @@
             scenario,
             events,
             random: SmallRng::seed_from_u64(seed),
+            summary_random: SmallRng::seed_from_u64(seed.wrapping_add(1)),
             requests: Vec::new(),
             users: Vec::new(),
             flows: Vec::new(),
@@ -114,7 +118,11 @@
             Event::Report(instance) => self.on_report(instance),
             Event::AtRoot(instance, loads) => self.fleet.on_report(now, instance, loads),
             Event::Sum(domain) => self.on_sum(domain),
-            Event::Sums(instance, loads) => self.fleet.on_sums(now, instance, &loads),
+            Event::Sums(instance, loads, remote) => {
+                self.fleet.on_sums(now, instance, &loads, &remote);
+            }
+            Event::AskLoads(domain, other, at) => self.on_ask_loads(domain, other, at),
+            Event::Summary(domain, at, loads) => self.fleet.on_summary(now, domain, at, &loads),
             Event::Evidence(instance, item) => self.fleet.on_evidence(now, instance, &item),
             Event::Fault(index) => return self.on_fault(self.scenario.faults[index].1),
             Event::Publish(target) => self.on_publish(target),
@@ -170,8 +178,7 @@
     /// Returns the time between a domain and a target, or `None` if they are cut off.
     fn hop_us(&self, domain: usize, target: usize) -> Option<u64> {
         let other = self.targets[target].domain;
-        let is_cut = |domain| self.scenario.cut_domain == Some(domain);
-        if domain != other && (is_cut(domain) || is_cut(other)) {
+        if !self.is_connected(domain, other) {
             return None;
         }
         Some(HOP_US[usize::from(domain != other)])
@@ -256,11 +263,30 @@
 
     fn on_sum(&mut self, domain: usize) {
         let (members, loads) = self.fleet.sums(&mut self.events, domain);
+        let remote = self.fleet.take_summaries(self.events.now(), domain);
         for instance in members {
-            self.exchange(Event::Sums(instance, loads.clone()));
+            self.exchange(Event::Sums(instance, loads.clone(), remote.clone()));
+        }
+        let now = self.events.now();
+        for other in self.fleet.domains_to_ask(now, domain) {
+            if self.is_connected(domain, other) {
+                self.exchange_summary(Event::AskLoads(domain, other, now));
+            }
+        }
+    }
+
+    fn on_ask_loads(&mut self, domain: usize, other: usize, at: Micros) {
+        if let Some(loads) = self.fleet.summary(self.events.now(), other) {
+            self.exchange_summary(Event::Summary(domain, at, loads));
         }
     }
 
+    /// Returns whether two domains are not cut off from each other.
+    fn is_connected(&self, domain: usize, other: usize) -> bool {
+        let is_cut = |domain| self.scenario.cut_domain == Some(domain);
+        domain == other || !is_cut(domain) && !is_cut(other)
+    }
+
     fn exchange(&mut self, event: Event) {
         let exchange = self.scenario.exchange;
         if !self.random.random_bool(exchange.loss) {
@@ -268,6 +294,14 @@
         }
     }
 
+    /// Passes a message between the roots of two domains.
+    fn exchange_summary(&mut self, event: Event) {
+        let Exchange { delay, loss } = self.scenario.exchange;
+        if !self.summary_random.random_bool(loss) {
+            self.events.add_after(delay.0 * 1_000 + HOP_US[1], event);
+        }
+    }
+
     fn on_bin(&mut self) {
         self.capacity.push(best::Capacity::of(&self.targets));
         self.events.add_after(BIN.0 * 1_000, Event::Bin);
--- a/crates/lab/src/pressure/results.rs
+++ b/crates/lab/src/pressure/results.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ids::Millis;
+use ids::{Micros, Millis};
 use smol_str::SmolStr;
 
 use super::best::{Capacity, best_credit};
@@ -28,6 +28,9 @@
     pub targets: Vec<Target>,
     /// Resets of opening packets by reason.
     pub refusals: BTreeMap<SmolStr, u64>,
+    /// Time, domain and share of the first service's flows that the first instance of the domain
+    /// spilled, at each of its totals.
+    pub spill_shares: Vec<(Micros, usize, f32)>,
     pub(super) capacity: Vec<Capacity>,
 }
 
--- a/crates/lab/tests/pressure.rs
+++ b/crates/lab/tests/pressure.rs
@@ -5,7 +5,7 @@
 
 use std::sync::LazyLock;
 
-use ids::Millis;
+use ids::{Micros, Millis};
 use lab::pressure::cases::{self, FULL, SMALL, Size};
 use lab::pressure::scenario::{Fault, SAFE, Scenario, Stream, URGENT, seconds};
 use lab::pressure::{Admission, Job, Outcome, Results, Selection, Target, run_scenario};
@@ -18,6 +18,14 @@
 const TURNED_AWAY_GOAL: f64 = 0.05;
 /// Reaction of admission in both directions.
 const REACTION_GOAL: Millis = Millis(1_000);
+/// Time of work of the busiest target over the mean, where one domain has twice the callers.
+const BALANCE_GOAL: f64 = 1.25;
+/// Change of the share of spilled flows that counts as a swing, and number of swings in 13 s. A share
+/// that flaps swings with each round of summaries, of which there are 32.
+const SWING: f32 = 0.25;
+const MAX_SWINGS: usize = 2;
+/// Times between which the share is settled: it can rise to all in the 3 s before.
+const SETTLED: std::ops::Range<Micros> = Micros(6_000_000)..Micros(19_000_000);
 /// Standard deviations by which the share of a single caller may be below its bound. With three
 /// hundred callers, one is below four by chance in one run of a hundred.
 const DEVIATIONS: f64 = 4.0;
@@ -171,6 +179,7 @@
     instances_change = cases::instances_change(SMALL) => {}
     all_return = cases::all_return(SMALL) => {}
     unequal_speeds = cases::unequal_speeds(SMALL) => { nothing_refused: check_nothing_refused, no_target_is_always_full: check_spread }
+    one_domain_heavy = cases::one_domain_heavy(FULL) => { targets_are_balanced: check_balance, share_does_not_flap: check_steady_share, share_ends: check_share_ends }
     fleet_of_2 = cases::uneven_fleet(Size { instances: 2, ..SMALL }) => {}
     fleet_of_8 = cases::uneven_fleet(SMALL) => {}
     fleet_of_80 = cases::uneven_fleet(FULL) => {}
@@ -185,6 +194,55 @@
     assert!(share >= bound, "{share:.3} below {bound:.3}");
 }
 
+/// Guards against targets of a domain with many callers that do more than those of others with room.
+fn check_balance(results: &Results) {
+    let busiest = results.busiest_over_mean();
+    assert!(busiest <= BALANCE_GOAL, "{busiest:.2}");
+}
+
+/// Guards against a share of spilled flows that swings although the load is the same, and against
+/// domains with few callers that spill.
+fn check_steady_share(results: &Results) {
+    let shares = |domain| {
+        let shares = results.spill_shares.iter();
+        let shares = shares.filter(move |(at, of, _)| *of == domain && SETTLED.contains(at));
+        shares.map(|(.., share)| *share)
+    };
+    let mut swings = 0;
+    let (mut extreme, mut is_rising) = (shares(0).next().expect("a total"), true);
+    for share in shares(0) {
+        let back = if is_rising {
+            extreme - share
+        } else {
+            share - extreme
+        };
+        if back > SWING {
+            (swings, is_rising, extreme) = (swings + 1, !is_rising, share);
+        } else if back < 0.0 {
+            extreme = share;
+        }
+    }
+    assert!(swings <= MAX_SWINGS, "{swings} swings");
+    assert!(
+        shares(0).all(|share| share > 0.0),
+        "the share ends in between"
+    );
+    for domain in 1..results.scenario.domain_shares.len() {
+        let most = shares(domain).fold(0.0, f32::max);
+        assert!(most < SWING, "domain {domain} spills {most:.2}");
+    }
+}
+
+/// Guards against a share that stays after the domain has capacity again.
+fn check_share_ends(results: &Results) {
+    // Requests that were asked before occupy slots until then.
+    let has_room_from = results.scenario.pressure_end() + results.scenario.classes[URGENT].goal;
+    let until = has_room_from + REACTION_GOAL;
+    let later = results.spill_shares.iter().filter(|(at, ..)| *at > until);
+    let most = later.fold(0.0, |most: f32, (.., share)| most.max(*share));
+    assert!(most == 0.0, "{most:.2} is spilled");
+}
+
 /// Guards against one target getting more than it can process while others are idle. The mean load
 /// is 70% of the slots, so a target with 1/0.7 of the mean is always full.
 fn check_spread(results: &Results) {
