--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -377,7 +377,8 @@
             .ok_or_else(|| Status::invalid_argument("no caller with a valid address"))?;
         let now = self.clock.now();
         let mut peers = lock(&self.peers);
-        let known = peers.best_of_domain(now, &caller.0.domain);
+        let mut known = peers.best_of_domain(now, &caller.0.domain);
+        known.extend(peers.best_of_third_domains(now, &caller.0.domain));
         let own = peers.own().clone();
         peers.learn(caller.0, now);
         drop(peers);
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -33,6 +33,10 @@
 /// cost. If the first ones are gone, the caller still reaches another, which returns more.
 const MAX_ADVERTISED_OTHER_DOMAIN: usize = 4;
 
+/// Number of peers of each third failure domain returned to a caller, which may ask one of them for
+/// the load there. Callers of two domains otherwise know only the seeds of others.
+const ADVERTISED_THIRD_DOMAIN: usize = 2;
+
 /// Maximum number of known peers. Every caller is added, and seeds have many callers.
 const MAX_PEERS: usize = 4_096;
 
@@ -248,6 +252,19 @@
         domains
     }
 
+    /// Returns the best peers of each failure domain but this one and another one, with the time since
+    /// each was last heard from.
+    pub fn best_of_third_domains(&self, now: Micros, domain: &str) -> Vec<(Peer, Millis)> {
+        let domains = self.other_domains().into_iter();
+        let addresses = domains
+            .filter(|(name, _)| name != domain)
+            .flat_map(|(_, addresses)| addresses.into_iter().take(ADVERTISED_THIRD_DOMAIN));
+        let known = addresses.filter_map(|address| self.known.get(&address));
+        known
+            .map(|known| (known.peer.clone(), now.since(known.last_heard_at)))
+            .collect()
+    }
+
     /// Returns the best peers of a failure domain with the time since each was last heard from.
     pub fn best_of_domain(&self, now: Micros, domain: &str) -> Vec<(Peer, Millis)> {
         let mut domain_peers: Vec<&KnownPeer> = self
--- a/crates/steer/src/spill.rs
+++ b/crates/steer/src/spill.rs
@@ -95,14 +95,10 @@
         now.since(self.summed_at) <= MAX_SUMMARY_AGE
     }
 
-    /// Returns whether the domain has targets and is not short of capacity, as far as is known.
-    fn is_open(&self, now: Micros) -> bool {
-        self.is_fresh(now) && !self.load.is_short && self.load.slots > 0
-    }
-
     /// Returns the room and the part of the spilled flows, unless the domain gets none.
     fn usable(&self, now: Micros) -> Option<(&Room, f32)> {
-        let room = self.room.as_ref().filter(|_| self.is_open(now))?;
+        let is_open = self.is_fresh(now) && !self.load.is_short && self.load.slots > 0;
+        let room = self.room.as_ref().filter(|_| is_open)?;
         Some((room, self.weight))
     }
 }
@@ -172,7 +168,9 @@
 
     /// Returns whether some other failure domain may get spilled flows.
     pub fn has_open_domain(&self, now: Micros) -> bool {
-        self.remotes.iter().any(|remote| remote.is_open(now))
+        self.remotes
+            .iter()
+            .any(|remote| remote.usable(now).is_some())
     }
 
     /// Returns the share of new flows that goes to other failure domains.
--- a/crates/steer/tests/peers.rs
+++ b/crates/steer/tests/peers.rs
@@ -43,6 +43,20 @@
         assert_eq!(followed.len(), 1);
     }
 
+    // Guards against roots that know no instance of a domain without seeds, and so never its load.
+    callers_learn_a_few_peers_of_each_third_domain => {
+        let others: Vec<Peer> = (2..=9)
+            .map(|last| peer(last, ["b", "c"][usize::from(last % 2)], 10_000 * u64::from(last)))
+            .collect();
+        let peers = peers_of(1, &others);
+        let third = peers.best_of_third_domains(NOW, "b");
+        let third: Vec<_> = third.iter().map(|(peer, _)| (peer.domain.as_str(), peer.link_kbps)).collect();
+        assert_eq!(third, [("c", 90_000), ("c", 70_000)]);
+        assert_eq!(peers.best_of_third_domains(NOW, "a").len(), 4);
+        let domains = peers.other_domains();
+        assert_eq!(domains.iter().map(|(_, known)| known.len()).collect::<Vec<_>>(), [4, 4]);
+    }
+
     peers_with_fast_links_are_preferred => {
         let wide = peer(9, "a", 200_000);
         let mut others: Vec<Peer> = (2..=8).map(|last| peer(last, "a", 10_000)).collect();
--- a/crates/steer/tests/spill.rs
+++ b/crates/steer/tests/spill.rs
@@ -26,11 +26,8 @@
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const INTERVAL: Millis = Millis(100);
 
-fn new_instance(domains: &[&'static str], settings: Settings) -> TestInstance {
-    let mut instance = TestInstance::with_settings(Settings {
-        domain: "a".into(),
-        ..settings
-    });
+/// The document, and the targets of some domains.
+fn all_changes(domains: &[&'static str]) -> Vec<Change> {
     let names = domains
         .iter()
         .flat_map(|domain| std::iter::repeat_n(*domain, TARGETS as usize));
@@ -38,7 +35,15 @@
         .zip(1..)
         .map(|(domain, id)| Change::Target(new_target(id, "rates", domain)));
     let document = Change::Document(new_document(1, default_routes()));
-    instance.publish(targets.chain([document]).collect());
+    targets.chain([document]).collect()
+}
+
+fn new_instance(domains: &[&'static str], settings: Settings) -> TestInstance {
+    let mut instance = TestInstance::with_settings(Settings {
+        domain: "a".into(),
+        ..settings
+    });
+    instance.publish(all_changes(domains));
     instance.learn_time(Millis(40));
     instance
 }
@@ -306,6 +311,23 @@
         assert_eq!(instance.place(20).iter().sum::<usize>(), 20);
     }
 
+    /// Guards against an instance that has just started, does not know how long a request takes, and
+    /// keeps its flows at busy targets.
+    without_a_known_time_placement_is_as_before => {
+        let mut instance = instance();
+        let mut started = TestInstance::with_settings(Settings {
+            domain: "a".into(),
+            ..Settings::default()
+        });
+        started.publish(all_changes(&DOMAINS));
+        for instance in [&mut instance, &mut started] {
+            instance.receive(Millis(1_000), 8, &[summary("b", 40), summary("c", 40)]);
+        }
+        // By the summaries, other domains are as busy. By own counts, they are empty.
+        assert_eq!(instance.place(10)[0], 10);
+        assert_eq!(started.place(10)[0], 0);
+    }
+
     /// Guards against a domain that tells others that it has room while it refuses callers.
     shortage_shows_in_the_summary_for_a_second => {
         let mut instance = instance();
