--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -162,7 +162,8 @@
             let loads = load_exchange::decode(loads);
             let callers = part.callers.as_ref();
             let callers = callers.map(caller_exchange::decode).unwrap_or_default();
-            self.context.relay.send_loads_down(loads, callers);
+            let relay = &self.context.relay;
+            relay.send_loads_down(loads, callers, part.remote_loads.clone());
         }
         if part.is_complete {
             if !view_part::has_orders(&part) {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -56,6 +56,8 @@
     pub targets_cold: IntGauge,
     /// Addresses over their share of the openings in the failure domain, by service.
     pub callers_over_share: IntGaugeVec,
+    /// Share of new flows that goes to other failure domains, in thousandths, by service.
+    pub spill_share: IntGaugeVec,
     /// Version of the active configuration document.
     pub document_version: IntGauge,
     /// Evacuated failure domains.
@@ -143,6 +145,11 @@
                 "Addresses over their share of the openings in the failure domain",
                 &["service"],
             )?,
+            spill_share: gauge_by(
+                "spill_share",
+                "Thousandths of new flows that go to other failure domains",
+                &["service"],
+            )?,
             document_version: gauge("document_version", "Version of the configuration in force")?,
             domains_evacuated: gauge("domains_evacuated", "Evacuated failure domains")?,
             store_epoch: gauge("store_epoch", "Epoch of the store, raised by each restore")?,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -68,7 +68,9 @@
     })
 }
 
-async fn connect(address: SocketAddr) -> Result<RelayClient<Channel>, tonic::transport::Error> {
+pub(crate) async fn connect(
+    address: SocketAddr,
+) -> Result<RelayClient<Channel>, tonic::transport::Error> {
     let endpoint =
         Endpoint::from_shared(format!("http://{address}"))?.connect_timeout(CALL_TIMEOUT);
     let channel = endpoint.connect().await?;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -16,7 +16,7 @@
 use tonic::{Request, Response, Status, Streaming};
 use wire::steering::relay_server::Relay;
 use wire::steering::{
-    Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ReadLoadsReply,
+    DomainLoad, Evidence as WireEvidence, FollowRequest, MeetReply, MeetRequest, ReadLoadsReply,
     ReadLoadsRequest, ViewPart,
 };
 
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::evidence::EvidenceDeduplicator;
 use crate::load_exchange::{self, LoadExchange};
+use crate::remote_loads::{self, RemoteLoads};
 use crate::view_reader::LoopEvent;
 use crate::{evidence, peer, view_part};
 
@@ -69,6 +70,7 @@
     deduplicator: Arc<Mutex<EvidenceDeduplicator>>,
     loads: Arc<Mutex<LoadExchange>>,
     callers: Arc<Mutex<CallerExchange>>,
+    remote_loads: RemoteLoads,
     clock: Clock,
     log: Logger,
 }
@@ -102,6 +104,7 @@
             deduplicator: Arc::default(),
             loads: Arc::default(),
             callers: Arc::default(),
+            remote_loads: RemoteLoads::new(log.clone()),
             clock,
             log,
         }
@@ -147,7 +150,8 @@
         let callers = lock(&self.callers).take_sums(self.clock.now(), own_callers);
         let upstream = lock(&self.upstream).clone();
         let Some(upstream) = upstream else {
-            self.send_loads_down(sums, callers);
+            let remote_loads = self.remote_loads.take(Instant::now());
+            self.send_loads_down(sums, callers, remote_loads);
             return;
         };
         // A full queue means that the upstream peer is too slow; the next report replaces this one.
@@ -158,15 +162,36 @@
         });
     }
 
-    /// Passes the loads and the openings of the failure domain to the packet loop and to followers.
-    pub fn send_loads_down(&self, loads: Vec<TargetLoad>, callers: Vec<CallerTotal>) {
+    /// Asks the other failure domains for their load, unless this instance follows another one, which
+    /// then does so.
+    pub fn ask_remote_loads(&self) {
+        if lock(&self.upstream).is_some() {
+            return;
+        }
+        let known = lock(&self.peers).other_domains();
+        self.remote_loads.ask(Instant::now(), known);
+    }
+
+    /// Passes the loads and the openings of the failure domain, and the loads of other ones that are
+    /// new, to the packet loop and to followers.
+    pub fn send_loads_down(
+        &self,
+        loads: Vec<TargetLoad>,
+        callers: Vec<CallerTotal>,
+        remote_loads: Vec<DomainLoad>,
+    ) {
+        // The queue is unbounded and closes only when the process ends.
+        if !remote_loads.is_empty() {
+            let decoded = remote_loads.iter().map(remote_loads::decode).collect();
+            let _ = self.events.send(LoopEvent::RemoteLoads(decoded));
+        }
         if self.has_followers() {
             let mut part = lock(&self.published).heartbeat_part();
             part.loads = Some(load_exchange::encode(&loads));
             part.callers = caller_exchange::encode(&callers);
+            part.remote_loads = remote_loads;
             self.send(part);
         }
-        // The queue is unbounded and closes only when the process ends.
         let _ = self.events.send(LoopEvent::DomainLoads(loads));
         if !callers.is_empty() {
             let _ = self.events.send(LoopEvent::DomainCallers(callers));
@@ -371,6 +396,7 @@
         let mut peers = lock(&self.peers);
         let mut known = vec![peers.own_report()];
         known.extend(peers.best_of_domain(now, &caller.peer.domain));
+        known.extend(peers.best_of_third_domains(now, &caller.peer.domain));
         let view_holders = match caller.has_view {
             true => Vec::new(),
             false => peers.view_holders(now),
@@ -391,7 +417,8 @@
         &self,
         _: Request<ReadLoadsRequest>,
     ) -> Result<Response<ReadLoadsReply>, Status> {
-        Err(Status::unimplemented("no summary of the loads"))
+        let reply = remote_loads::query_summary(&self.events).await?;
+        Ok(Response::new(reply))
     }
 
     type FollowStream = Pin<Box<dyn Stream<Item = Result<ViewPart, Status>> + Send>>;
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -11,7 +11,9 @@
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
 use steer::status::CoreStatus;
-use steer::{CallerTotal, Change, Evidence, Members, Peers, Revision, TargetLoad, Update};
+use steer::{
+    CallerTotal, Change, Evidence, Members, Peers, RemoteLoad, Revision, TargetLoad, Update,
+};
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -49,6 +51,10 @@
     DomainLoads(Vec<TargetLoad>),
     /// Openings of callers that all instances of the failure domain have seen together.
     DomainCallers(Vec<CallerTotal>),
+    /// Loads of other failure domains.
+    RemoteLoads(Vec<RemoteLoad>),
+    /// A request for the load of the failure domain, with the channel for the response.
+    SummaryQuery(oneshot::Sender<Vec<RemoteLoad>>),
     /// A request for the status, with the channel for the response.
     StatusQuery(oneshot::Sender<(CoreStatus, Millis)>),
 }
--- a/crates/lab/src/pressure/events.rs
+++ b/crates/lab/src/pressure/events.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ids::Micros;
-use steer::Evidence;
+use steer::{Evidence, RemoteLoad};
 
 use super::callers::{Answer, CallerPacket};
 use super::exchange::Report;
@@ -29,7 +29,11 @@
     Report(usize),
     AtRoot(usize, Report),
     Sum(usize),
-    Sums(usize, Report),
+    Sums(usize, Report, Vec<RemoteLoad>),
+    /// The root of the first domain asked an instance of the second one for a summary at a time, and
+    /// the answer reaches the root.
+    AskLoads(usize, usize, Micros),
+    Summary(usize, Micros, Vec<RemoteLoad>),
     Evidence(usize, Evidence),
     Fault(usize),
     /// The store shows whether a target is there.
--- a/crates/lab/src/pressure/exchange.rs
+++ b/crates/lab/src/pressure/exchange.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use ids::{Micros, Millis};
-use steer::{CallerSums, CallerTotal, TargetLoad, Token};
+use steer::{CallerSums, CallerTotal, RemoteLoad, TargetLoad, Token};
 
 /// Age after which the pending requests of an instance no longer count.
 const MAX_REPORT_AGE: Millis = Millis(1_000);
@@ -15,6 +15,8 @@
     pub loads: Vec<TargetLoad>,
     pub callers: Vec<CallerTotal>,
 }
+/// Interval at which a root asks other domains for summaries while it needs them.
+const ASK_INTERVAL: Millis = Millis(400);
 
 /// The root of a failure domain.
 #[derive(Debug, Default)]
@@ -24,6 +26,9 @@
     /// Requests answered since the last sums, by token.
     answered: BTreeMap<u32, TargetLoad>,
     callers: CallerSums,
+    asked_at: Option<Micros>,
+    /// Summaries of other domains since the last sums, and when they arrived.
+    summaries: Vec<(Micros, RemoteLoad)>,
 }
 
 impl Root {
@@ -50,6 +55,31 @@
             callers: self.callers.take(now),
         }
     }
+
+    /// Returns whether other domains are to be asked for summaries now.
+    pub fn is_time_to_ask(&mut self, now: Micros) -> bool {
+        let is_due = self.asked_at.is_none_or(|at| now.since(at) >= ASK_INTERVAL);
+        if is_due {
+            self.asked_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Records a summary of another domain.
+    pub fn receive_summary(&mut self, now: Micros, loads: &[RemoteLoad]) {
+        let loads = loads.iter().map(|load| (now, load.clone()));
+        self.summaries.extend(loads);
+    }
+
+    /// Returns the summaries that arrived since the last call.
+    pub fn take_summaries(&mut self, now: Micros) -> Vec<RemoteLoad> {
+        let summaries = self.summaries.drain(..);
+        let aged = summaries.map(|(at, load)| RemoteLoad {
+            age: Millis(load.age.0 + now.since(at).0),
+            ..load
+        });
+        aged.collect()
+    }
 }
 
 fn sum_of(sums: &mut BTreeMap<u32, TargetLoad>, token: Token) -> &mut TargetLoad {
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -35,6 +35,9 @@
 
 /// Maximum number of peers with a view returned to a caller without one.
 const MAX_ADVERTISED_VIEW_HOLDERS: usize = 8;
+/// Number of peers of each third failure domain returned to a caller, which may ask one of them for
+/// the load there. Callers of two domains otherwise know only the seeds of others.
+const ADVERTISED_THIRD_DOMAIN: usize = 2;
 
 /// Maximum number of known peers. Every caller is added, and seeds have many callers.
 const MAX_PEERS: usize = 4_096;
@@ -313,6 +316,34 @@
         holders.map(|known| known.report(now)).collect()
     }
 
+    /// Returns the known peers of each other failure domain, the best ones first.
+    pub fn other_domains(&self) -> Vec<(SmolStr, Vec<SocketAddr>)> {
+        let others = self.known.values().map(|known| &known.peer);
+        let others = others.filter(|peer| peer.domain != self.own.domain);
+        let mut ranks: Vec<_> = others
+            .map(|peer| (peer.domain.clone(), peer.rank(), peer.address))
+            .collect();
+        ranks.sort_unstable();
+        let mut domains: Vec<(SmolStr, Vec<SocketAddr>)> = Vec::new();
+        for (domain, _, address) in ranks {
+            match domains.last_mut() {
+                Some((known, addresses)) if *known == domain => addresses.push(address),
+                _ => domains.push((domain, vec![address])),
+            }
+        }
+        domains
+    }
+
+    /// Returns the best peers of each failure domain but this one and another one.
+    pub fn best_of_third_domains(&self, now: Micros, domain: &str) -> Vec<PeerReport> {
+        let domains = self.other_domains().into_iter();
+        let addresses = domains
+            .filter(|(name, _)| name != domain)
+            .flat_map(|(_, addresses)| addresses.into_iter().take(ADVERTISED_THIRD_DOMAIN));
+        let known = addresses.filter_map(|address| self.known.get(&address));
+        known.map(|known| known.report(now)).collect()
+    }
+
     /// Returns the best peers of a failure domain.
     pub fn best_of_domain(&self, now: Micros, domain: &str) -> Vec<PeerReport> {
         let mut domain_peers: Vec<&KnownPeer> = self
