Limit resent opening packets while targets turn requests away

Cause: an opening packet without a timely handshake is sent to a further target, however short of capacity the service is. Under overload, late handshakes thus add flows when capacity is shortest.

Change: while a total of the last second shows more than 5% of a service's requests turned away, the instance sends at most 0.2 opening packets for each handshake to further targets, 10 a second in any case, with 10 saved up. A withheld one still counts against the silent target, and the caller's copy goes to another target; copies are not limited. Where targets are only down, nothing changes. Log line resend withheld, counter resends_withheld_total.

In a unit test, 200 unanswered opening packets lead to at most 15 resends instead of 200.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -26,6 +26,8 @@
     pub flows_placed_remote: IntCounter,
     /// Opening packets sent to a further target because the earlier ones did not answer.
     pub openings_retried: IntCounter,
+    /// Opening packets not sent to a further target, because the budget for it was used up.
+    pub resends_withheld: IntCounter,
     /// Flows reset, by reason.
     pub flows_reset: IntCounterVec,
     /// Flows reset because only cold targets were left.
@@ -91,6 +93,10 @@
                 "openings_retried_total",
                 "Opening packets sent to one more target",
             )?,
+            resends_withheld: counter(
+                "resends_withheld_total",
+                "Opening packets not sent to one more target, because targets turn requests away",
+            )?,
             flows_reset: counter_by("flows_reset_total", "Flows reset", &["reason"])?,
             flows_refused_cold: counter(
                 "flows_refused_cold_total",
--- a/crates/edge/src/recorder.rs
+++ b/crates/edge/src/recorder.rs
@@ -84,6 +84,12 @@
                 .metrics
                 .answer_seconds
                 .observe(to_seconds(response_time)),
+            Note::ResendWithheld { flow, target } => {
+                self.metrics.resends_withheld.inc();
+                if self.unusual_limiter.try_take(now) {
+                    info!(self.log, "resend withheld"; "flow" => %flow, "target" => %target);
+                }
+            }
             Note::RefusedCold { flow, counts } => {
                 self.metrics.flows_refused_cold.inc();
                 if self.unusual_limiter.try_take(now) {
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -148,6 +148,8 @@
     short_rate: f32,
     demands: Demands,
     reserve: Reserve,
+    /// When a report last showed that targets turn requests away.
+    turned_away_at: Option<Micros>,
     /// Openings of each caller. Present while room is short.
     fairness: Option<Box<Fairness>>,
 }
@@ -161,6 +163,7 @@
             short_rate: 0.0,
             demands: Demands::default(),
             reserve: Reserve::default(),
+            turned_away_at: None,
             fairness: None,
         }
     }
@@ -197,6 +200,12 @@
         }
     }
 
+    /// Returns whether a recent report shows that targets turn requests away.
+    pub fn shows_turned_away(&self, now: Micros) -> bool {
+        self.turned_away_at
+            .is_some_and(|at| now.since(at) <= MAX_REPORT_AGE)
+    }
+
     /// Returns the number of targets to compare for a flow.
     pub fn sample_size(&self, now: Micros, priority: Priority) -> usize {
         if !self.reserve.is_kept(now) || !self.demands.has_less_urgent() {
@@ -227,6 +236,9 @@
         self.demands.decay(now.since(previous));
         let arrivals = (load.answered + load.turned_away).max(1) as f32;
         let turned_away = load.turned_away as f32 / arrivals;
+        if turned_away > MAX_TURNED_AWAY {
+            self.turned_away_at = Some(now);
+        }
         let delayed = load.delayed as f32 / load.answered.max(1) as f32;
         let excess = (turned_away - MAX_TURNED_AWAY).max(delayed - MAX_DELAYED);
         let answer_rate = load.answered as f32 / elapsed.max(MIN_INTERVAL_S);
--- a/crates/steer/src/opening.rs
+++ b/crates/steer/src/opening.rs
@@ -257,6 +257,7 @@
     pub(crate) fn record_handshake(&mut self, handshake_time: Millis) {
         let decayed = self.slowest_handshake_us * HANDSHAKE_DECAY / (HANDSHAKE_DECAY + 1);
         self.slowest_handshake_us = decayed.max(handshake_time.0 * 1_000);
+        self.retry_budget.record_handshake();
     }
 
     /// Returns the time after which an opening packet counts as unanswered.
@@ -267,6 +268,25 @@
             .min(self.settings.max_handshake_timeout)
     }
 
+    /// Returns whether the opening packet of a flow may be sent to a further target. If targets turn
+    /// requests away and the budget is used up, the flow waits for its caller's copy.
+    fn may_resend(&mut self, now: Micros, id: &FlowId, sent_at: Micros) -> bool {
+        let service = self.view.route(id.entry);
+        let service = service.and_then(|route| self.view.service_for_flow(route, id));
+        let admission = service.and_then(|service| self.admissions.get(service));
+        let is_limited = admission.is_some_and(|admission| admission.shows_turned_away(now));
+        if !is_limited || self.retry_budget.try_take(now) {
+            return true;
+        }
+        let Some(target) = self.flows.get(id).map(|flow| flow.target) else {
+            return false;
+        };
+        // The target counts as silent as if the packet had been sent to another one.
+        self.record_unanswered(now, target, sent_at, id, UnansweredPacket::Opening);
+        self.notes.push(Note::ResendWithheld { flow: *id, target });
+        false
+    }
+
     /// Returns when [`Steer::on_timer`] has to be called next.
     pub fn next_timer_at(&self) -> Option<Micros> {
         self.openings.front().map(|(due, _)| *due)
@@ -295,6 +315,9 @@
             if now.since(sent_at) < self.settings.min_handshake_timeout {
                 continue;
             }
+            if !self.may_resend(now, &id, sent_at) {
+                continue;
+            }
             let next = self.try_next_target(now, &id, tried);
             if let Some(to) = next.and_then(|next| self.destination(next)) {
                 resend(Resend {
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -17,6 +17,7 @@
 use crate::packet::{FlowId, PacketKind, Segment};
 use crate::passive_health::Request;
 use crate::peers::Members;
+use crate::retry_budget::RetryBudget;
 use crate::revision::Revision;
 use crate::settings::Settings;
 use crate::verdict::{Destination, Note, Verdict};
@@ -31,6 +32,7 @@
     /// Handshake timeouts of opening packets, the earliest first.
     pub(crate) openings: VecDeque<(Micros, FlowId)>,
     pub(crate) slowest_handshake_us: u64,
+    pub(crate) retry_budget: RetryBudget,
     /// Requests to check for stalls, the earliest timeout first.
     pub(crate) requests: VecDeque<Request>,
     pub(crate) mean_response_us: u64,
@@ -67,6 +69,7 @@
             view: View::new()?,
             openings: VecDeque::new(),
             slowest_handshake_us: 0,
+            retry_budget: RetryBudget::default(),
             requests: VecDeque::new(),
             mean_response_us: 0,
             admissions: HashMap::new(),
--- a/crates/steer/src/verdict.rs
+++ b/crates/steer/src/verdict.rs
@@ -125,6 +125,14 @@
         /// The reason.
         reason: ResetReason,
     },
+    /// An unanswered opening packet was not sent to a further target, because targets turn requests
+    /// away and the budget for it is used up.
+    ResendWithheld {
+        /// The flow.
+        flow: FlowId,
+        /// The target that did not answer.
+        target: TargetId,
+    },
     /// A new flow was reset because only cold targets are left.
     RefusedCold {
         /// The flow.
