--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -16,6 +16,8 @@
 use crate::demand::{Demands, MIN_SHARE};
 use crate::load::TargetLoad;
 use crate::model::{Priority, RouteTerms};
+use crate::placement::SAMPLE_SIZE;
+use crate::reserve::{DEFERRABLE_SAMPLE_SIZE, Reserve, URGENT_SAMPLE_SIZE};
 
 /// Seed that separates the hash for admission from other uses of the hash.
 const ADMISSION_SEED: u64 = 0x706f_6c6c_6164_6d69;
@@ -52,6 +54,10 @@
 const ACCELERATION_S: f32 = 0.8;
 const STEADY_INCREASE: f32 = 4.0;
 
+/// Admitted share when this instance sees a shortage before a report shows it. Less urgent flows then
+/// leave the reserve; how many more have to be refused, only reports can tell.
+const START_SHARE: f32 = 0.95;
+
 /// Smallest limit on the factor by which the share grows at one report. The limit is the increase
 /// after which targets answer as many requests per second as when room was last short, so that one
 /// report at a long interval does not make it short again.
@@ -115,6 +121,8 @@
     pub expected_time: Millis,
     /// Whether the best target needs no longer than a request of the route takes without a queue.
     pub is_target_free: bool,
+    /// Whether the best target has only the reserve for more urgent flows left.
+    pub is_reserved: bool,
 }
 
 /// Why a flow is refused.
@@ -139,6 +147,9 @@
     /// Requests per second that targets answered when a report last showed too little room.
     short_rate: f32,
     demands: Demands,
+    reserve: Reserve,
+    /// When a report last showed that targets turn requests away.
+    turned_away_at: Option<Micros>,
     /// Openings of each caller. Present while room is short.
     callers: Option<Box<CallerShares>>,
     /// Share of the most urgent openings that fits. Only callers over their share are refused for it.
@@ -153,6 +164,8 @@
             room_s: 0.0,
             short_rate: 0.0,
             demands: Demands::default(),
+            reserve: Reserve::default(),
+            turned_away_at: None,
             callers: None,
             urgent_share: 1.0,
         }
@@ -176,6 +189,44 @@
     /// Counts a request that a target has processed.
     pub fn record_request(&mut self, priority: Priority) {
         self.demands.record_request(priority);
+        self.reserve.record_answered();
+    }
+
+    /// Records that a target turned a request of this instance away.
+    pub fn record_turned_away(&mut self, now: Micros) {
+        let is_short = self.share(now) < 1.0;
+        if self.reserve.record_turned_away(now, is_short) {
+            self.share = START_SHARE;
+            self.observed_at = Some(now);
+            self.room_s = 0.0;
+            self.callers.get_or_insert_default();
+        }
+    }
+
+    /// Returns whether a recent report shows that targets turn requests away.
+    pub fn shows_turned_away(&self, now: Micros) -> bool {
+        self.turned_away_at
+            .is_some_and(|at| now.since(at) <= MAX_REPORT_AGE)
+    }
+
+    /// Returns the number of targets to compare for a flow.
+    pub fn sample_size(&self, now: Micros, priority: Priority) -> usize {
+        if !self.reserve.is_kept(now) || !self.demands.has_less_urgent() {
+            return SAMPLE_SIZE;
+        }
+        if self.demands.is_most_urgent(priority) {
+            URGENT_SAMPLE_SIZE
+        } else {
+            DEFERRABLE_SAMPLE_SIZE
+        }
+    }
+
+    /// Returns whether a target that needs this time has only the reserve for more urgent flows
+    /// left.
+    pub fn is_reserved(&self, now: Micros, terms: &RouteTerms, expected_time: Millis) -> bool {
+        let more_urgent_part = self.demands.more_urgent_part(terms.priority);
+        self.reserve
+            .is_reserved(now, terms.latency_goal, expected_time, more_urgent_part)
     }
 
     /// Adapts the admitted share to a round of reports. The change depends on the time since the
@@ -188,6 +239,9 @@
         self.demands.decay(now.since(previous));
         let arrivals = (load.answered + load.turned_away).max(1) as f32;
         let turned_away = load.turned_away as f32 / arrivals;
+        if turned_away > MAX_TURNED_AWAY {
+            self.turned_away_at = Some(now);
+        }
         let delayed = load.delayed as f32 / load.answered.max(1) as f32;
         let excess = (turned_away - MAX_TURNED_AWAY).max(delayed - MAX_DELAYED);
         let answer_rate = load.answered as f32 / elapsed.max(MIN_INTERVAL_S);
@@ -210,6 +264,7 @@
             self.urgent_share = (self.urgent_share * factor).min(1.0);
             (share * factor).min(1.0)
         };
+        self.reserve.observe(now, self.share < 1.0);
         if self.share >= 1.0 {
             self.callers = None;
             self.urgent_share = 1.0;
@@ -251,25 +306,28 @@
             priority, timeout, ..
         } = request.terms;
         let share = self.share(now);
-        if share >= 1.0 {
+        if share >= 1.0 && !self.reserve.is_kept(now) {
             // Pending requests of callers that have given up look like a queue. Only answers and
             // requests turned away are evidence of one.
             return Ok(());
         }
-        if timeout > Millis(0) && request.expected_time > timeout {
+        if share < 1.0 && timeout > Millis(0) && request.expected_time > timeout {
             return Err(Refusal::Deadline);
         }
         let caller = request.caller;
-        let Some(callers) = &mut self.callers else {
-            return Ok(());
-        };
+        let is_blind = self.reserve.is_blind(now);
+        let is_reserved =
+            (request.is_reserved || is_blind) && !self.demands.is_most_urgent(priority);
         let share = self.demands.priority_share(share, priority);
-        let is_first = share >= 1.0;
+        let is_first = share >= 1.0 && !is_reserved;
         let share = if is_first { self.urgent_share } else { share };
-        if share >= 1.0 {
+        if share >= 1.0 && !is_reserved {
             return Ok(());
         }
-        let standing = callers.standing(now, priority, caller, is_first);
+        let standing = match &mut self.callers {
+            Some(callers) => callers.standing(now, priority, caller, is_first),
+            None => Standing::Regular,
+        };
         let is_excess = standing != Standing::Regular;
         self.demands.record_opening(priority, is_excess);
         // Callers that are not over their share are never refused in the most urgent priority.
@@ -283,13 +341,15 @@
         } else {
             regular_share
         };
+        let limit = if is_reserved { MIN_SHARE } else { 1.0 };
+        let (share, regular_share) = (share.min(limit), regular_share.min(limit));
         let queue_limit = request.terms.latency_goal.0 as f32 * DEFER_SHARE;
         let is_domain_excess = matches!(standing, Standing::DomainExcess(_));
-        let is_soon = request.expected_time.0 as f32 <= queue_limit;
-        let has_room = request.is_target_free || is_soon && !is_domain_excess;
+        let is_soon = request.expected_time.0 as f32 <= queue_limit && !is_reserved;
+        let has_room = request.is_target_free && !is_blind || is_soon && !is_domain_excess;
         let is_admitted = has_room
-            || match standing {
-                Standing::DomainExcess(factor) => {
+            || match (standing, &mut self.callers) {
+                (Standing::DomainExcess(factor), Some(callers)) => {
                     callers.admits_part(priority, caller, share.max(regular_share / factor))
                 }
                 _ => turn_position(now, caller) < f64::from(share),
@@ -301,7 +361,7 @@
                 Refusal::NoRoom
             });
         }
-        if !is_first {
+        if !is_first && let Some(callers) = &mut self.callers {
             callers.record_in_sketch(now, priority, caller);
         }
         Ok(())
--- a/crates/steer/src/opening.rs
+++ b/crates/steer/src/opening.rs
@@ -7,9 +7,9 @@
 use crate::evidence::UnansweredPacket;
 use crate::flow::{Flow, Stage, TriedTargets};
 use crate::load::RouteLoad;
-use crate::model::{RouteTerms, TargetId};
+use crate::model::{Priority, RouteTerms, TargetId};
 use crate::packet::{FlowId, PacketKind, Segment};
-use crate::placement::{Choice, Placement};
+use crate::placement::{Choice, Placement, SAMPLE_SIZE};
 use crate::steer::Steer;
 use crate::verdict::{DropReason, Note, Resend, ResetReason, Verdict};
 
@@ -45,7 +45,7 @@
         let Some(service) = self.view.service_for_flow(route, &id).cloned() else {
             return Verdict::Reset(ResetReason::NoTarget);
         };
-        let Some(choice) = self.choose_target(now, &service, &[]) else {
+        let Some(choice) = self.choose_target(now, &service, terms.priority, &[]) else {
             return self.refuse_opening(now, id, &service);
         };
         // Another instance may have got an earlier copy, and its target may have accepted the flow.
@@ -57,7 +57,17 @@
         self.forward_opening(Some(choice.target))
     }
 
-    fn choose_target(&mut self, now: Micros, service: &str, tried: &[TargetId]) -> Option<Choice> {
+    fn choose_target(
+        &mut self,
+        now: Micros,
+        service: &str,
+        priority: Priority,
+        tried: &[TargetId],
+    ) -> Option<Choice> {
+        let admission = self.admissions.get(service);
+        let sample_size = admission.map_or(SAMPLE_SIZE, |admission| {
+            admission.sample_size(now, priority)
+        });
         let placement = Placement {
             view: &self.view,
             settings: &self.settings,
@@ -65,6 +75,7 @@
             spill: self.spill.service(service),
             now,
             service,
+            sample_size,
         };
         placement.choose(tried, &mut self.random)
     }
@@ -83,11 +94,13 @@
         };
         let route_load = self.route_loads.get(&flow.entry);
         let service_time_ms = route_load.map_or(0.0, RouteLoad::service_time_ms);
+        let expected_time = Millis((choice.rounds.max(1.0) * service_time_ms) as u64);
         let request = Request {
             terms,
             caller: *flow.caller.ip(),
-            expected_time: Millis((choice.rounds.max(1.0) * service_time_ms) as u64),
+            expected_time,
             is_target_free: choice.rounds <= 1.0,
+            is_reserved: admission.is_reserved(now, &terms, expected_time),
         };
         let Err(refusal) = admission.decide(now, &request) else {
             return Ok(());
@@ -124,6 +137,7 @@
             spill: self.spill.service(service),
             now,
             service,
+            sample_size: SAMPLE_SIZE,
         };
         if let Some(counts) = placement.count_cold() {
             self.notes.push(Note::RefusedCold { flow, counts });
@@ -191,8 +205,11 @@
         let previous = flow.target;
         self.record_unanswered(now, previous, sent_at, id, UnansweredPacket::Opening);
         let route = self.view.route(id.entry)?;
+        let priority = route.terms.priority;
         let service = self.view.service_for_flow(route, id)?.clone();
-        let next = self.choose_target(now, &service, tried.as_slice())?.target;
+        let next = self
+            .choose_target(now, &service, priority, tried.as_slice())?
+            .target;
         if !tried.push(next) {
             return None;
         }
@@ -242,6 +259,7 @@
     pub(crate) fn record_handshake(&mut self, handshake_time: Millis) {
         let decayed = self.slowest_handshake_us * HANDSHAKE_DECAY / (HANDSHAKE_DECAY + 1);
         self.slowest_handshake_us = decayed.max(handshake_time.0 * 1_000);
+        self.retry_budget.record_handshake();
     }
 
     /// Returns the time after which an opening packet counts as unanswered.
@@ -252,6 +270,25 @@
             .min(self.settings.max_handshake_timeout)
     }
 
+    /// Returns whether the opening packet of a flow may be sent to a further target. If targets turn
+    /// requests away and the budget is used up, the flow waits for its caller's copy.
+    fn may_resend(&mut self, now: Micros, id: &FlowId, sent_at: Micros) -> bool {
+        let service = self.view.route(id.entry);
+        let service = service.and_then(|route| self.view.service_for_flow(route, id));
+        let admission = service.and_then(|service| self.admissions.get(service));
+        let is_limited = admission.is_some_and(|admission| admission.shows_turned_away(now));
+        if !is_limited || self.retry_budget.try_take(now) {
+            return true;
+        }
+        let Some(target) = self.flows.get(id).map(|flow| flow.target) else {
+            return false;
+        };
+        // The target counts as silent as if the packet had been sent to another one.
+        self.record_unanswered(now, target, sent_at, id, UnansweredPacket::Opening);
+        self.notes.push(Note::ResendWithheld { flow: *id, target });
+        false
+    }
+
     /// Returns when [`Steer::on_timer`] has to be called next.
     pub fn next_timer_at(&self) -> Option<Micros> {
         self.openings.front().map(|(due, _)| *due)
@@ -280,6 +317,9 @@
             if now.since(sent_at) < self.settings.min_handshake_timeout {
                 continue;
             }
+            if !self.may_resend(now, &id, sent_at) {
+                continue;
+            }
             let next = self.try_next_target(now, &id, tried);
             if let Some(to) = next.and_then(|next| self.destination(next)) {
                 resend(Resend {
--- a/crates/steer/tests/caller_shares.rs
+++ b/crates/steer/tests/caller_shares.rs
@@ -80,6 +80,7 @@
         caller,
         expected_time: Millis(150),
         is_target_free: false,
+        is_reserved: false,
     }
 }
 
