Count open flows by learned demand, and show balance by busy time

Cause: an open flow counted as 0.05 of a pending request whatever its route, and only at the instance that it passes through. Balance was not reported.

Change: the demand of open flows is learned per route from the time between two requests, and joined over the failure domain (flow_demand_milli). The time of the handshake is subtracted before the slowness is learned.

--- a/crates/cli/src/steering.rs
+++ b/crates/cli/src/steering.rs
@@ -117,9 +117,17 @@
         .iter()
         .filter_map(|response| response.status.as_ref())
     {
+        let name = &status.instance;
+        for balance in &status.beliefs.balance {
+            let ratio = f64::from(balance.busiest_over_mean_milli) / 1_000.0;
+            let service = &balance.service;
+            text.push_str(&format!(
+                "{name}: busiest target of {service} in {} has {ratio:.2} of the mean busy time\n",
+                status.domain
+            ));
+        }
         let evacuated = &status.beliefs.evacuated_domains;
         if !evacuated.is_empty() {
-            let name = &status.instance;
             text.push_str(&format!("{name} evacuates {}\n", evacuated.join(", ")));
         }
     }
--- a/crates/edge/src/load_exchange.rs
+++ b/crates/edge/src/load_exchange.rs
@@ -15,7 +15,8 @@
 /// The last report of a follower, which includes its own followers.
 #[derive(Debug)]
 struct FollowerLoads {
-    pending: HashMap<Token, u32>,
+    /// Pending requests and the demand of open flows, in thousandths.
+    present: HashMap<Token, (u32, u32)>,
     received_at: Instant,
     /// From when on its answered and turned-away requests count.
     counts_from: Instant,
@@ -42,11 +43,13 @@
                 add_answered(&mut self.answered, load);
             }
         }
-        let pending = loads.iter().map(|load| (load.token, load.pending));
+        let present = loads
+            .iter()
+            .map(|load| (load.token, (load.pending, load.flow_demand_milli)));
         self.followers.insert(
             follower,
             FollowerLoads {
-                pending: pending.collect(),
+                present: present.collect(),
                 received_at,
                 counts_from,
             },
@@ -65,11 +68,15 @@
         let mut sums = std::mem::take(&mut self.answered);
         for load in own {
             add_answered(&mut sums, load);
-            add_pending(&mut sums, load.token, load.pending);
+            add_present(
+                &mut sums,
+                load.token,
+                (load.pending, load.flow_demand_milli),
+            );
         }
         for follower in self.followers.values() {
-            for (token, pending) in &follower.pending {
-                add_pending(&mut sums, *token, *pending);
+            for (token, present) in &follower.present {
+                add_present(&mut sums, *token, *present);
             }
         }
         sums.into_values().collect()
@@ -85,10 +92,10 @@
     }
 }
 
-fn add_pending(sums: &mut HashMap<Token, TargetLoad>, token: Token, pending: u32) {
-    if pending > 0 {
+fn add_present(sums: &mut HashMap<Token, TargetLoad>, token: Token, present: (u32, u32)) {
+    if present != (0, 0) {
         let sum = sums.entry(token).or_insert_with(|| TargetLoad::none(token));
-        sum.pending = sum.pending.saturating_add(pending);
+        sum.add_present(present.0, present.1);
     }
 }
 
@@ -105,7 +112,8 @@
             .iter()
             .map(|load| load.relative_response_milli)
             .collect(),
-        ..LoadReport::default()
+        flow_demand_milli: loads.iter().map(|load| load.flow_demand_milli).collect(),
+        work_ms: loads.iter().map(|load| load.work_ms).collect(),
     }
 }
 
@@ -122,6 +130,8 @@
             turned_away: value(&report.turned_away, index),
             delayed: value(&report.delayed, index),
             relative_response_milli: value(&report.relative_response_milli, index),
+            flow_demand_milli: value(&report.flow_demand_milli, index),
+            work_ms: value(&report.work_ms, index),
         })
         .collect()
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 use crate::{Error, Result};
@@ -54,6 +54,8 @@
     pub flows: IntGauge,
     /// Targets whose new flows are limited because they are cold.
     pub targets_cold: IntGauge,
+    /// Busy time of the busiest target over the mean, in thousandths, by service.
+    pub work_busiest_over_mean: IntGaugeVec,
     /// Version of the active configuration document.
     pub document_version: IntGauge,
     /// Evacuated failure domains.
@@ -76,6 +78,9 @@
         let counter_by = |name: &str, help: &str, labels: &[&str]| {
             register(&registry, IntCounterVec::new(Opts::new(name, help), labels))
         };
+        let gauge_by = |name: &str, help: &str, labels: &[&str]| {
+            register(&registry, IntGaugeVec::new(Opts::new(name, help), labels))
+        };
         let latency = |name: &str, help: &str| {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
             register(&registry, Histogram::with_opts(options))
@@ -133,6 +138,11 @@
             )?,
             flows: gauge("flows", "Flows in the table")?,
             targets_cold: gauge("targets_cold", "Cold targets with a limit on new flows")?,
+            work_busiest_over_mean: gauge_by(
+                "work_busiest_over_mean",
+                "Busy time of the busiest target over the mean, in thousandths",
+                &["service"],
+            )?,
             document_version: gauge("document_version", "Version of the configuration in force")?,
             domains_evacuated: gauge("domains_evacuated", "Evacuated failure domains")?,
             store_epoch: gauge("store_epoch", "Epoch of the store, raised by each restore")?,
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -268,6 +268,13 @@
         self.metrics
             .targets_cold
             .set(self.steer.cold_count(now) as i64);
+        self.metrics.work_busiest_over_mean.reset();
+        for balance in self.steer.work_balance(now) {
+            self.metrics
+                .work_busiest_over_mean
+                .with_label_values(&[balance.service.as_str()])
+                .set(i64::from(balance.busiest_over_mean_milli));
+        }
         self.metrics
             .view_revision
             .set(self.steer.view().revision().number as i64);
--- a/crates/lab/src/pressure/exchange.rs
+++ b/crates/lab/src/pressure/exchange.rs
@@ -33,7 +33,7 @@
             .retain(|_, (at, _)| now.since(*at) <= MAX_REPORT_AGE);
         let mut sums = std::mem::take(&mut self.answered);
         for load in self.reports.values().flat_map(|(_, loads)| loads) {
-            sum_of(&mut sums, load.token).pending += load.pending;
+            sum_of(&mut sums, load.token).add_present(load.pending, load.flow_demand_milli);
         }
         sums.into_values().collect()
     }
--- a/crates/lab/src/pressure/fleet.rs
+++ b/crates/lab/src/pressure/fleet.rs
@@ -4,12 +4,12 @@
 
 use ids::{Micros, hash_of};
 use smol_str::{SmolStr, format_smolstr};
-use steer::{FlowId, Resend, Settings, Steer, TargetLoad, Verdict};
+use steer::{FlowId, Resend, Settings, Steer, TargetId, TargetLoad, Verdict};
 
 use super::callers::CallerPacket;
 use super::events::{Event, Events};
 use super::exchange::Root;
-use super::scenario::Scenario;
+use super::scenario::{SERVICES, Scenario};
 use super::store::{Store, domain_name};
 use super::targets::Target;
 use crate::Result;
@@ -249,6 +249,31 @@
         (members, self.domains[domain].take_sums(events.now()))
     }
 
+    /// Returns the mean slowness of a target as the instances of its domain know it.
+    pub fn slowness(&self, target: usize, domain: usize) -> f64 {
+        let instances = self.instances.iter();
+        let cores = instances.filter(|instance| instance.domain == domain);
+        let records = cores.filter_map(|instance| {
+            let view = instance.steer.as_ref()?.view();
+            view.record(TargetId(target as u64 + 1))
+        });
+        let (sum, count) = records.fold((0.0, 0_u32), |(sum, count), record| {
+            (sum + f64::from(record.load.slowness()), count + 1)
+        });
+        sum / f64::from(count.max(1))
+    }
+
+    /// Returns the busy time of the first service's busiest target over the mean as the instances know
+    /// it, the most of all.
+    pub fn busiest_over_mean(&self, now: Micros) -> f64 {
+        let cores = self.instances.iter().filter_map(|core| core.steer.as_ref());
+        let balances = cores.flat_map(|steer| steer.work_balance(now));
+        let ratios = balances
+            .filter(|balance| balance.service == SERVICES[0])
+            .map(|balance| f64::from(balance.busiest_over_mean_milli) / 1_000.0);
+        ratios.fold(0.0, f64::max)
+    }
+
     /// Applies the sums of a domain.
     pub fn on_sums(&mut self, now: Micros, index: usize, loads: &[TargetLoad]) {
         if let Some(steer) = self.instances[index].steer.as_mut() {
--- a/crates/lab/src/pressure/model.rs
+++ b/crates/lab/src/pressure/model.rs
@@ -20,6 +20,9 @@
 /// One way inside a failure domain, and between two.
 const HOP_US: [u64; 2] = [200, 4_900];
 
+/// Time from which the slowness is sampled, when instances have seen enough requests.
+const SLOWNESS_FROM: Micros = Micros(4_000_000);
+
 /// The state of a run.
 #[derive(Debug)]
 pub(super) struct Model<'a> {
@@ -35,6 +38,9 @@
     pub(super) targets: Vec<Target>,
     pub(super) fleet: Fleet,
     capacity: Vec<best::Capacity>,
+    /// Sums of the samples of each target's slowness, and their number.
+    slowness: (Vec<f64>, u32),
+    seen_busiest_over_mean: f64,
 }
 
 /// Runs a scenario until every request has ended.
@@ -54,6 +60,12 @@
         targets: model.targets,
         refusals: model.fleet.refusals,
         capacity: model.capacity,
+        seen_busiest_over_mean: model.seen_busiest_over_mean,
+        slowness: {
+            let (sums, samples) = model.slowness;
+            let means = sums.iter().map(|sum| sum / f64::from(samples.max(1)));
+            means.collect()
+        },
     })
 }
 
@@ -79,6 +91,8 @@
             users: Vec::new(),
             flows: Vec::new(),
             ports: vec![vec![1_024; scenario.callers + 1]; domains],
+            slowness: (vec![0.0; targets.len()], 0),
+            seen_busiest_over_mean: 0.0,
             targets,
             fleet,
             capacity: Vec::new(),
@@ -270,6 +284,14 @@
 
     fn on_bin(&mut self) {
         self.capacity.push(best::Capacity::of(&self.targets));
+        if (SLOWNESS_FROM..self.scenario.duration).contains(&self.events.now()) {
+            let (sums, samples) = &mut self.slowness;
+            for (index, sum) in sums.iter_mut().enumerate() {
+                *sum += self.fleet.slowness(index, self.targets[index].domain);
+            }
+            *samples += 1;
+            self.seen_busiest_over_mean = self.fleet.busiest_over_mean(self.events.now());
+        }
         self.events.add_after(BIN.0 * 1_000, Event::Bin);
     }
 }
--- a/crates/steer/src/domain_loads.rs
+++ b/crates/steer/src/domain_loads.rs
@@ -65,7 +65,7 @@
                 return false;
             };
             loads.extend(record.load.take_report(token, record.waiting));
-            record.waiting > 0 && record.load.list()
+            (record.waiting > 0 || record.load.has_own_demand()) && record.load.list()
         });
         self.loaded_targets = ids;
         loads
@@ -109,6 +109,7 @@
                 record.responsiveness.record_response(now, answered_at);
             }
             if record.target.domain == self.settings.domain {
+                self.work.add(now, id, report.work_ms);
                 service_loads
                     .entry(record.target.service.clone())
                     .or_default()
--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -25,10 +25,39 @@
 /// covers the interval of reports without load.
 const PEER_ANSWER_WINDOW: Millis = Millis(500);
 
+/// An answered request.
+struct Answer {
+    /// Pending requests of the target when the request was sent, including it.
+    queue_length: u32,
+    /// Part of the response time that was spent on the way.
+    way_time: Millis,
+    response_time: Millis,
+    response_bytes: u32,
+}
+
+impl Answer {
+    /// Returns the time for the request with its way, without the time in the queue.
+    fn service_time_ms(&self, slots: f32) -> f32 {
+        let rounds = (self.queue_length as f32 / slots).max(1.0);
+        (self.response_time.0 as f32 / rounds).max(1.0)
+    }
+
+    /// Returns the time for which the request kept a slot busy. Of the requests that were pending
+    /// before it, some were on the way: by Little's law, the part of their time that they are.
+    fn work_ms(&self, slots: f32) -> f32 {
+        let response_ms = self.response_time.0.max(1) as f32;
+        let time_at_target_ms = response_ms - self.way_time.0 as f32;
+        let pending_before = self.queue_length.saturating_sub(1) as f32;
+        let queued = pending_before * time_at_target_ms / response_ms;
+        let rounds = ((queued + 1.0) / slots).max(1.0);
+        (time_at_target_ms / rounds).max(1.0)
+    }
+}
+
 impl Steer {
     pub(crate) fn on_established_packet(&mut self, now: Micros, segment: &Segment) -> Verdict {
         if segment.token == Token(0) {
-            self.remove_flow(&segment.flow);
+            self.remove_flow(now, &segment.flow);
             return Verdict::Drop(match segment.kind {
                 PacketKind::Abort | PacketKind::Finish => DropReason::Unopened,
                 _ => DropReason::NoToken,
@@ -42,11 +71,11 @@
         };
         self.update_flow(now, id, segment);
         if let Some(reason) = self.reset_reason(now, id, segment) {
-            self.remove_flow(&segment.flow);
+            self.remove_flow(now, &segment.flow);
             return Verdict::Reset(reason);
         }
         if matches!(segment.kind, PacketKind::Finish | PacketKind::Abort) {
-            self.remove_flow(&segment.flow);
+            self.remove_flow(now, &segment.flow);
         }
         Verdict::Forward { to, token: None }
     }
@@ -94,6 +123,7 @@
             let progress = flow.on_packet(now, segment);
             if self.flows.insert(segment.flow, flow) {
                 self.adjust_counts(id, i32::from(progress == Progress::RequestSent), 1);
+                self.count_open_flow(&segment.flow);
                 self.watch_request(now, &segment.flow);
                 self.record_queue_length(now, id, &segment.flow);
             }
@@ -108,12 +138,19 @@
                 ..Flow::established(now, id, segment)
             };
             if tried.as_slice().len() == 1 {
+                flow.handshake_ms = u8::try_from(handshake_time.0).unwrap_or(u8::MAX);
                 self.record_handshake(handshake_time);
+                let handshake_us = handshake_time.0 * 1_000;
+                self.mean_handshake_us = match self.mean_handshake_us {
+                    0 => handshake_us,
+                    mean => mean - mean / RESPONSE_WEIGHT + handshake_us / RESPONSE_WEIGHT,
+                };
             }
             if previous_target != id {
                 self.adjust_counts(previous_target, -1, -1);
                 self.adjust_counts(id, 1, 1);
             }
+            self.count_open_flow(&segment.flow);
             self.record_response(now, id);
             self.notes.push(Note::Opened {
                 flow: segment.flow,
@@ -126,9 +163,15 @@
             return;
         };
         let had_sent_request = flow.has_sent_request;
-        let queue_length = flow.queue_length;
+        let (queue_length, handshake_ms) = (flow.queue_length, flow.handshake_ms);
         let received_before = flow.received_until;
         let progress = flow.on_packet(now, segment);
+        if let Progress::Responded {
+            response_time: Some(response_time),
+        } = progress
+        {
+            flow.pending_ms = u16::try_from(response_time.0).unwrap_or(u16::MAX);
+        }
         let starts_request = flow.has_sent_request
             && (!had_sent_request || matches!(progress, Progress::Responded { .. }));
         match progress {
@@ -141,15 +184,13 @@
                 self.record_response(now, id);
                 if let Some(response_time) = response_time {
                     self.record_response_time(response_time);
-                    let response_bytes = segment.ack.wrapping_sub(received_before);
-                    self.record_load(
-                        now,
-                        id,
-                        segment.flow.entry,
+                    let answer = Answer {
                         queue_length,
+                        way_time: self.way_time(handshake_ms, response_time),
                         response_time,
-                        response_bytes,
-                    );
+                        response_bytes: segment.ack.wrapping_sub(received_before),
+                    };
+                    self.record_load(now, id, segment.flow.entry, &answer);
                 }
             }
             Progress::Retransmitted { request_sent_at } => {
@@ -165,6 +206,7 @@
             }
         }
         if starts_request {
+            self.record_flow_request(now, &segment.flow);
             self.watch_request(now, &segment.flow);
             self.record_queue_length(now, id, &segment.flow);
         }
@@ -183,15 +225,7 @@
     }
 
     /// Learns from a response how long a request takes at its target, or that the target is full.
-    fn record_load(
-        &mut self,
-        now: Micros,
-        id: TargetId,
-        entry: SocketAddrV4,
-        queue_length: u32,
-        response_time: Millis,
-        response_bytes: u32,
-    ) {
+    fn record_load(&mut self, now: Micros, id: TargetId, entry: SocketAddrV4, answer: &Answer) {
         // Callers choose the address in their packets, so that only entries of routes are kept.
         let Some(terms) = self.view.route(entry).map(|route| route.terms) else {
             return;
@@ -199,21 +233,26 @@
         let Some(record) = self.view.record_mut(id) else {
             return;
         };
-        let rounds = (queue_length as f32 / record.target.slots as f32).max(1.0);
-        let service_time_ms = (response_time.0 as f32 / rounds).max(1.0);
-        let service_time_ms = match terms.timeout {
-            Millis(0) => service_time_ms,
-            timeout => service_time_ms.min(timeout.0 as f32 * MAX_TIMEOUT_SHARE),
+        let max_time_ms = match terms.timeout {
+            Millis(0) => f32::INFINITY,
+            timeout => timeout.0 as f32 * MAX_TIMEOUT_SHARE,
         };
+        let slots = record.target.slots as f32;
+        let service_time_ms = answer.service_time_ms(slots).min(max_time_ms);
+        let work_ms = answer.work_ms(slots).min(max_time_ms);
         let route = self
             .route_loads
             .entry(entry)
-            .or_insert_with(|| RouteLoad::new(service_time_ms, response_bytes));
-        match route.record(service_time_ms, response_bytes) {
-            Response::Processed(relative_time) => {
+            .or_insert_with(|| RouteLoad::new(service_time_ms, answer.response_bytes));
+        match route.record(service_time_ms, answer.response_bytes) {
+            Response::Processed => {
+                let relative_work = route.relative_work(work_ms);
+                let response_rounds = answer.response_time.0 as f32 / route.service_time_ms();
                 let goal = terms.latency_goal;
-                let is_delayed = goal > Millis(0) && response_time.0 * 2 > goal.0;
-                record.load.record_answer(relative_time, rounds, is_delayed);
+                let is_delayed = goal > Millis(0) && answer.response_time.0 * 2 > goal.0;
+                let load = &mut record.load;
+                load.record_answer(relative_work, response_rounds, is_delayed);
+                load.record_work(work_ms as u16);
                 if let Some(admission) = self.admissions.get_mut(&record.target.service) {
                     admission.record_request(terms.priority);
                 }
@@ -225,6 +264,17 @@
         }
     }
 
+    /// Returns the part of a response time that was spent on the way. The handshake of a flow takes
+    /// the same way as its requests. It counts for at most half of the response time, since a lost
+    /// opening packet makes it long.
+    fn way_time(&self, handshake_ms: u8, response_time: Millis) -> Millis {
+        let known = match handshake_ms {
+            0 => self.mean_handshake_us / 1_000,
+            handshake_ms => u64::from(handshake_ms),
+        };
+        Millis(known.min(response_time.0 / 2))
+    }
+
     fn record_response_time(&mut self, response_time: Millis) {
         let decayed = self.mean_response_us - self.mean_response_us / RESPONSE_WEIGHT;
         self.mean_response_us = decayed + response_time.0 * 1_000 / RESPONSE_WEIGHT;
--- a/crates/steer/src/flow.rs
+++ b/crates/steer/src/flow.rs
@@ -96,6 +96,17 @@
     pub is_reported_unanswered: bool,
     /// Pending requests of the target when this request was sent, including this one.
     pub queue_length: u32,
+    /// Time from `created_at` to the end of the last period that was added to the demand of the route.
+    pub measured_ms: u32,
+    /// Time for which requests were pending since then.
+    pub pending_ms: u16,
+    /// Time of the handshake, which is that of the way alone, or 0 if it is not known.
+    pub handshake_ms: u8,
+    /// Weight with which the flow counts in the demand on its target, in thousandths, or `None` if the
+    /// demand of its route was unknown.
+    pub weight_milli: Option<u8>,
+    /// Start of the target in whose demand the flow counts.
+    pub target_start: u8,
 }
 
 /// What a packet showed about its flow.
@@ -152,6 +163,11 @@
             has_sent_request: false,
             is_reported_unanswered: false,
             queue_length: 1,
+            measured_ms: 0,
+            pending_ms: 0,
+            handshake_ms: 0,
+            weight_milli: Some(0),
+            target_start: 0,
         }
     }
 
@@ -164,6 +180,12 @@
         }
     }
 
+    /// Returns the time that was not added to the demand of the route yet.
+    pub(crate) fn unmeasured(&self, now: Micros) -> Millis {
+        let age = now.since(self.created_at);
+        Millis(age.0.saturating_sub(u64::from(self.measured_ms)))
+    }
+
     /// Processes a packet of an established flow.
     pub fn on_packet(&mut self, now: Micros, segment: &Segment) -> Progress {
         self.last_packet_at = now;
@@ -255,7 +277,7 @@
     }
 
     /// Removes all flows for which `is_over` returns `true`.
-    pub fn sweep(&mut self, mut is_over: impl FnMut(&mut Flow) -> bool) {
-        self.flows.retain(|_, flow| !is_over(flow));
+    pub fn sweep(&mut self, mut is_over: impl FnMut(&FlowId, &mut Flow) -> bool) {
+        self.flows.retain(|id, flow| !is_over(id, flow));
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,8 +11,8 @@
 //! [`domains`] hold the published state in the order of [`revision`], [`service_index`] with
 //! `stall_sum` groups the targets, `tokens` tells targets with equal tokens apart, [`cold_start`] limits the flows of targets that have just started, [`peers`]
 //! decides which instance reads the published state from the store, [`store_turn`] decides when the
-//! others call it, and [`status`] reports the state to operators. [`document_check`] examines a
-//! configuration before it is published.
+//! others call it, and [`status`] reports the state to operators. [`load`], [`flow_demand`] and [`work`]
+//! hold the load of the targets. [`document_check`] examines a configuration before it is published.
 
 pub mod admission;
 pub mod catalog;
@@ -26,6 +26,7 @@
 pub mod evidence;
 pub mod fairness;
 pub mod flow;
+pub mod flow_demand;
 pub mod load;
 pub mod model;
 mod opening;
@@ -44,6 +45,7 @@
 mod tokens;
 pub mod verdict;
 pub mod view;
+pub mod work;
 
 pub use catalog::{Applied, Catalog};
 pub use domains::DomainState;
--- a/crates/steer/src/load.rs
+++ b/crates/steer/src/load.rs
@@ -6,6 +6,7 @@
 
 use ids::{Micros, Millis};
 
+use crate::flow_demand::UNKNOWN_WEIGHT_MILLI;
 use crate::packet::Token;
 
 /// Age after which the sums of the failure domain are no longer used: the reports of ten intervals
@@ -47,6 +48,11 @@
     /// Sum of the response times of the answered requests relative to the mean time of their route,
     /// in thousandths.
     pub relative_response_milli: u32,
+    /// Requests that the open flows of the target are expected to bring in addition to the pending
+    /// ones, in thousandths.
+    pub flow_demand_milli: u32,
+    /// Milliseconds for which requests kept a slot busy since the last report.
+    pub work_ms: u32,
 }
 
 impl TargetLoad {
@@ -60,11 +66,13 @@
             turned_away: 0,
             delayed: 0,
             relative_response_milli: 0,
+            flow_demand_milli: 0,
+            work_ms: 0,
         }
     }
 
-    /// Adds what was seen since the last report, but not the pending requests, of which each report
-    /// replaces those of the report before.
+    /// Adds what was seen since the last report, but not the pending requests and the demand of open
+    /// flows, of which each report replaces those of the report before.
     pub fn add_seen(&mut self, other: &Self) {
         self.answered = self.answered.saturating_add(other.answered);
         self.relative_time_milli = self
@@ -75,11 +83,18 @@
         self.relative_response_milli = self
             .relative_response_milli
             .saturating_add(other.relative_response_milli);
+        self.work_ms = self.work_ms.saturating_add(other.work_ms);
+    }
+
+    /// Adds the pending requests and the demand of open flows, which are absolute.
+    pub fn add_present(&mut self, pending: u32, flow_demand_milli: u32) {
+        self.pending = self.pending.saturating_add(pending);
+        self.flow_demand_milli = self.flow_demand_milli.saturating_add(flow_demand_milli);
     }
 
     /// Returns whether nothing was seen since the last report.
     pub fn is_unseen(&self) -> bool {
-        self.answered == 0 && self.turned_away == 0
+        self.answered == 0 && self.turned_away == 0 && self.work_ms == 0
     }
 }
 
@@ -90,13 +105,22 @@
     domain_pending: u32,
     /// Pending requests of this instance in that number.
     reported_pending: u32,
-    reported_at: Option<Micros>,
+    /// Demand of the open flows of all instances at the last report, in thousandths.
+    domain_demand_milli: u32,
+    /// Demand of this instance's flows in that number, and now.
+    reported_demand_milli: u32,
+    own_demand_milli: u32,
+    /// Open flows of this instance whose demand is not known. They are not reported.
+    unknown_flows: u32,
+    /// When sums of the failure domain last came, or 0.
+    reported_at: Micros,
     /// What was seen since the last report of this instance.
     answered: u32,
     relative_time_milli: u32,
     turned_away: u32,
     delayed: u32,
     relative_response_milli: u32,
+    work_ms: u16,
     /// Response time in the last report relative to the mean time of the route.
     response_rounds: f32,
     response_at: Micros,
@@ -105,6 +129,8 @@
     full_until: Micros,
     /// Whether the target is in the list of targets with something to report.
     is_listed: bool,
+    /// Number of the target's start, which tells flows from before it apart.
+    start: u8,
 }
 
 impl Default for Load {
@@ -112,31 +138,97 @@
         Self {
             domain_pending: 0,
             reported_pending: 0,
-            reported_at: None,
+            domain_demand_milli: 0,
+            reported_demand_milli: 0,
+            own_demand_milli: 0,
+            unknown_flows: 0,
+            reported_at: Micros(0),
             answered: 0,
             relative_time_milli: 0,
             turned_away: 0,
             delayed: 0,
             relative_response_milli: 0,
+            work_ms: 0,
             response_rounds: 0.0,
             response_at: Micros(0),
             slowness: 1.0,
             full_until: Micros(0),
             is_listed: false,
+            start: 0,
         }
     }
 }
 
 impl Load {
+    /// Returns the load of the target after it has started again. Flows from before no longer count.
+    pub(crate) fn restarted(&self) -> Self {
+        Self {
+            start: self.start.wrapping_add(1),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the number of the target's start.
+    pub(crate) fn start(&self) -> u8 {
+        self.start
+    }
+
     /// Returns the estimated number of pending requests of all instances of the failure domain,
     /// given the present number of this instance.
     pub fn pending(&self, now: Micros, own_pending: u32) -> u32 {
-        match self.reported_at {
-            Some(at) if now.since(at) <= MAX_REPORT_AGE => self
-                .domain_pending
-                .saturating_sub(self.reported_pending)
-                .saturating_add(own_pending),
-            _ => own_pending,
+        if !self.has_recent_report(now) {
+            return own_pending;
+        }
+        self.domain_pending
+            .saturating_sub(self.reported_pending)
+            .saturating_add(own_pending)
+    }
+
+    /// Returns the number of requests that the open flows of all instances of the failure domain are
+    /// expected to bring in addition to the pending ones.
+    pub fn flow_demand(&self, now: Micros) -> f32 {
+        let unknown = self.unknown_flows.saturating_mul(UNKNOWN_WEIGHT_MILLI);
+        let own = self.own_demand_milli.saturating_add(unknown);
+        let of_others = if self.has_recent_report(now) {
+            self.domain_demand_milli
+                .saturating_sub(self.reported_demand_milli)
+        } else {
+            0
+        };
+        of_others.saturating_add(own) as f32 / 1_000.0
+    }
+
+    fn has_recent_report(&self, now: Micros) -> bool {
+        now.since(self.reported_at) <= MAX_REPORT_AGE
+    }
+
+    /// Returns whether this instance has open flows that are known to bring requests.
+    pub(crate) fn has_own_demand(&self) -> bool {
+        self.own_demand_milli > 0
+    }
+
+    /// Adds an open flow of this instance that was opened at this start of the target. A flow from an
+    /// earlier start has ended there.
+    pub(crate) fn add_flow(&mut self, start: u8, weight_milli: Option<u8>) {
+        if start != self.start {
+            return;
+        }
+        match weight_milli {
+            Some(milli) => self.own_demand_milli += u32::from(milli),
+            None => self.unknown_flows += 1,
+        }
+    }
+
+    /// Removes a flow that was added.
+    pub(crate) fn remove_flow(&mut self, start: u8, weight_milli: Option<u8>) {
+        if start != self.start {
+            return;
+        }
+        match weight_milli {
+            Some(milli) => {
+                self.own_demand_milli = self.own_demand_milli.saturating_sub(u32::from(milli));
+            }
+            None => self.unknown_flows = self.unknown_flows.saturating_sub(1),
         }
     }
 
@@ -162,18 +254,23 @@
         now < self.full_until
     }
 
-    /// Records the time of an answered request, relative to the mean of its route, the number of
-    /// rounds that it waited in the target's queue, and whether it took more than half of the
-    /// route's latency goal.
-    pub fn record_answer(&mut self, relative_time: f32, rounds: f32, is_delayed: bool) {
-        let bounded = relative_time.clamp(MIN_SLOWNESS, MAX_SLOWNESS);
+    /// Records the time for which an answered request kept a slot busy and its response time, both
+    /// relative to the mean of its route, and whether it took more than half of the route's latency
+    /// goal.
+    pub fn record_answer(&mut self, relative_work: f32, response_rounds: f32, is_delayed: bool) {
+        let bounded = relative_work.clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         self.answered += 1;
         self.delayed += u32::from(is_delayed);
-        let response_rounds = (relative_time * rounds).min(MAX_RESPONSE_ROUNDS);
+        let response_rounds = response_rounds.min(MAX_RESPONSE_ROUNDS);
         self.relative_response_milli += (response_rounds * 1_000.0) as u32;
         self.relative_time_milli += (bounded * 1_000.0) as u32;
     }
 
+    /// Records the time for which an answered request kept a slot busy.
+    pub(crate) fn record_work(&mut self, work_ms: u16) {
+        self.work_ms = self.work_ms.saturating_add(work_ms);
+    }
+
     /// Records that the target turned a request away.
     pub fn record_turned_away(&mut self, now: Micros) {
         self.turned_away += 1;
@@ -188,6 +285,7 @@
     /// Returns the load to report, if there is any, and starts the next interval.
     pub(crate) fn take_report(&mut self, token: Token, own_pending: u32) -> Option<TargetLoad> {
         self.reported_pending = own_pending;
+        self.reported_demand_milli = self.own_demand_milli;
         self.is_listed = false;
         let report = TargetLoad {
             token,
@@ -197,15 +295,18 @@
             turned_away: std::mem::take(&mut self.turned_away),
             delayed: std::mem::take(&mut self.delayed),
             relative_response_milli: std::mem::take(&mut self.relative_response_milli),
+            flow_demand_milli: self.own_demand_milli,
+            work_ms: u32::from(std::mem::take(&mut self.work_ms)),
         };
-        let has_load = report.pending > 0 || report.answered > 0 || report.turned_away > 0;
+        let has_load = report.pending > 0 || report.flow_demand_milli > 0 || !report.is_unseen();
         has_load.then_some(report)
     }
 
     /// Applies the sums of the failure domain, which include this instance's last report.
     pub(crate) fn apply_report(&mut self, now: Micros, report: Option<&TargetLoad>) {
-        self.reported_at = Some(now);
+        self.reported_at = now;
         self.domain_pending = report.map_or(0, |report| report.pending);
+        self.domain_demand_milli = report.map_or(0, |report| report.flow_demand_milli);
         let Some(report) = report else {
             return;
         };
@@ -240,14 +341,15 @@
 pub struct RouteLoad {
     responses: u16,
     service_time_ms: f32,
+    work_ms: f32,
     response_bytes: f32,
 }
 
 /// What a response shows of its target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Response {
-    /// The request was processed, in this time relative to the mean of the route.
-    Processed(f32),
+    /// The request was processed.
+    Processed,
     /// The request was turned away.
     TurnedAway,
 }
@@ -258,11 +360,12 @@
         Self {
             responses: 0,
             service_time_ms,
+            work_ms: 0.0,
             response_bytes: response_bytes as f32,
         }
     }
 
-    /// Returns the mean time for a request, without the time in the queue.
+    /// Returns the mean time for a request with its way, without the time in the queue.
     pub fn service_time_ms(&self) -> f32 {
         self.service_time_ms
     }
@@ -278,6 +381,13 @@
         let weight = 1.0 / f32::from(self.responses);
         self.response_bytes += (size - self.response_bytes) * weight;
         self.service_time_ms += (service_time_ms - self.service_time_ms) * weight;
-        Response::Processed(service_time_ms / self.service_time_ms)
+        Response::Processed
+    }
+
+    /// Updates the mean time for which processed requests keep a slot busy. Returns the time of this
+    /// one relative to the mean. Call it once after each [`Response::Processed`].
+    pub fn relative_work(&mut self, work_ms: f32) -> f32 {
+        self.work_ms += (work_ms - self.work_ms) / f32::from(self.responses.max(1));
+        work_ms / self.work_ms.max(1.0)
     }
 }
--- a/crates/steer/src/opening.rs
+++ b/crates/steer/src/opening.rs
@@ -35,7 +35,7 @@
             Some(flow) if flow.is_opened_by(now, segment) && !self.is_misplaced(&flow) => {
                 return self.on_opening_copy(now, &id, &flow);
             }
-            Some(_) => self.remove_flow(&id),
+            Some(_) => self.remove_flow(now, &id),
             None => {}
         }
         let Some(route) = self.view.route(id.entry) else {
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -17,10 +17,6 @@
 /// still gets its first flows.
 const COLD_FACTOR: f32 = 2.0;
 
-/// Weight of an established flow relative to a pending request, since long flows send requests from
-/// time to time.
-const FLOW_WEIGHT: f32 = 0.05;
-
 /// Number of targets that are compared. Instances whose reports of the load are equally old would
 /// all choose the same target if they compared all.
 const SAMPLE_SIZE: usize = 3;
@@ -279,7 +275,7 @@
         let queue_rounds = ((pending + 1.0) / slots + full_rounds) * round_time;
         // A slow target with a long queue shows in its response times before its slowness is known.
         let rounds = queue_rounds.max(record.load.response_rounds(self.now));
-        let flow_rounds = FLOW_WEIGHT * record.flows as f32 / slots * round_time;
+        let flow_rounds = record.load.flow_demand(self.now) / slots * round_time;
         Candidate {
             choice: Choice {
                 target: record.target.id,
--- a/crates/steer/src/status.rs
+++ b/crates/steer/src/status.rs
@@ -9,6 +9,7 @@
 use crate::steer::Steer;
 use crate::target_state::TargetState;
 use crate::view::TargetRecord;
+use crate::work::ServiceBalance;
 
 /// The status of a steering instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +41,9 @@
     /// Evacuated failure domains, sorted.
     #[serde(default)]
     pub evacuated_domains: Vec<SmolStr>,
+    /// Balance of the services in the own failure domain, sorted by service.
+    #[serde(default)]
+    pub balance: Vec<ServiceBalance>,
     /// All targets, sorted by service and identity.
     pub targets: Vec<TargetStatus>,
 }
@@ -100,6 +104,7 @@
             revision: self.view().revision().number,
             flows: self.flow_count(),
             evacuated_domains: self.view().evacuated_domains().to_vec(),
+            balance: self.work_balance(now),
             targets,
         }
     }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -12,6 +12,7 @@
 use crate::admission::Admission;
 use crate::cold_start::ColdStart;
 use crate::flow::{FlowTable, Stage};
+use crate::flow_demand::FlowDemand;
 use crate::load::RouteLoad;
 use crate::model::{Change, TargetId, Update};
 use crate::packet::{FlowId, PacketKind, Segment};
@@ -21,6 +22,7 @@
 use crate::settings::Settings;
 use crate::verdict::{Destination, Note, Verdict};
 use crate::view::View;
+use crate::work::Work;
 
 /// The steering core of one instance.
 #[derive(Debug)]
@@ -38,6 +40,12 @@
     pub(crate) admissions: HashMap<SmolStr, Admission>,
     /// What is usual for the responses of each route.
     pub(crate) route_loads: HashMap<SocketAddrV4, RouteLoad>,
+    /// Demand of the open flows of each route.
+    pub(crate) flow_demands: HashMap<SocketAddrV4, FlowDemand>,
+    /// Busy time of the targets of the failure domain.
+    pub(crate) work: Work,
+    /// Mean time of handshakes.
+    pub(crate) mean_handshake_us: u64,
     pub(crate) last_response_at: Micros,
     pub(crate) cold_start: ColdStart,
     pub(crate) has_queued_requests: bool,
@@ -71,6 +79,9 @@
             mean_response_us: 0,
             admissions: HashMap::new(),
             route_loads: HashMap::new(),
+            flow_demands: HashMap::new(),
+            work: Work::default(),
+            mean_handshake_us: 0,
             last_response_at: Micros(0),
             cold_start: ColdStart::default(),
             has_queued_requests: false,
@@ -192,8 +203,9 @@
         verdict
     }
 
-    pub(crate) fn remove_flow(&mut self, id: &FlowId) {
+    pub(crate) fn remove_flow(&mut self, now: Micros, id: &FlowId) {
         if let Some(flow) = self.flows.remove(id) {
+            self.record_flow_end(now, id, &flow);
             self.adjust_counts(flow.target, -i32::from(flow.request_sent_at.is_some()), -1);
         }
     }
@@ -224,7 +236,8 @@
             self.settings.max_flow_lifetime,
         );
         let mut count_changes = Vec::new();
-        self.flows.sweep(|flow| {
+        let mut ended_flows = Vec::new();
+        self.flows.sweep(|id, flow| {
             let is_stuck = flow
                 .request_sent_at
                 .is_some_and(|at| now.since(at) > request_timeout);
@@ -233,6 +246,9 @@
             let is_over = idle_time > idle_timeout
                 || now.since(flow.created_at) > max_lifetime
                 || is_unopened && idle_time > request_timeout;
+            if is_over {
+                ended_flows.push((*id, *flow));
+            }
             let ends_request = flow.request_sent_at.is_some() && (is_stuck || is_over);
             if ends_request {
                 flow.request_sent_at = None;
@@ -245,6 +261,9 @@
         for (id, waiting, flows) in count_changes {
             self.adjust_counts(id, waiting, flows);
         }
+        for (id, flow) in ended_flows {
+            self.record_flow_end(now, &id, &flow);
+        }
         let view_changes = self
             .view
             .expire(now, self.settings.lapse_grace, max_lifetime);
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -463,7 +463,7 @@
                 record.stalled_requests = StalledRequests::default();
                 record.may_have_restarted = false;
                 record.assumed_cold_until = Micros(0);
-                record.load = Load::default();
+                record.load = record.load.restarted();
             }
             if is_moved {
                 self.services.insert(now, &target, &record.stalled_requests);
