--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -60,6 +60,8 @@
     pub callers_over_share: IntGaugeVec,
     /// Share of new flows that goes to other failure domains, in thousandths, by service.
     pub spill_share: IntGaugeVec,
+    /// Busy time of the busiest target over the mean, in thousandths, by service.
+    pub work_busiest_over_mean: IntGaugeVec,
     /// Version of the active configuration document.
     pub document_version: IntGauge,
     /// Evacuated failure domains.
@@ -156,6 +158,11 @@
                 "Thousandths of new flows that go to other failure domains",
                 &["service"],
             )?,
+            work_busiest_over_mean: gauge_by(
+                "work_busiest_over_mean",
+                "Busy time of the busiest target over the mean, in thousandths",
+                &["service"],
+            )?,
             document_version: gauge("document_version", "Version of the configuration in force")?,
             domains_evacuated: gauge("domains_evacuated", "Evacuated failure domains")?,
             store_epoch: gauge("store_epoch", "Epoch of the store, raised by each restore")?,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,9 +11,9 @@
 //! [`domains`] hold the published state in the order of [`revision`], [`service_index`] with
 //! `stall_sum` groups the targets, `reserve` keeps capacity free for urgent flows, `retry_budget` limits resent opening packets, `tokens` tells targets with equal tokens apart, [`cold_start`] limits the flows of targets that have just started, [`peers`]
 //! decides which instance reads the published state from the store, [`store_turn`] decides when the
-//! others call it, and [`status`] reports the state to operators. [`document_check`] examines a
-//! configuration before it is published. [`remote_loads`] and [`spill`] decide which flows go to other
-//! failure domains.
+//! others call it, and [`status`] reports the state to operators. [`load`], [`flow_demand`] and [`work`]
+//! hold the load of the targets. [`document_check`] examines a configuration before it is published.
+//! [`remote_loads`] and [`spill`] decide which flows go to other failure domains.
 
 pub mod admission;
 pub mod caller_shares;
@@ -29,6 +29,7 @@
 pub mod evidence;
 pub mod fairness;
 pub mod flow;
+pub mod flow_demand;
 pub mod load;
 pub mod model;
 mod opening;
@@ -51,6 +52,7 @@
 mod tokens;
 pub mod verdict;
 pub mod view;
+pub mod work;
 
 pub use caller_total::{CallerBitmap, CallerSums, CallerTotal};
 pub use catalog::{Applied, Catalog};
