Mend the findings of the review of admission, peers and spill-over

Causes, found by two reviewers with trials: - An instance took a service for short of capacity when a single target turned its requests away, of another failure domain as well, and without totals again and again. Of the openings of small healthy services, most of the less urgent ones were refused. - The reserve was applied after the division among callers, so a priority kept 0.5% instead of 5%. - A shortage that the instance saw itself shortened the interval of the next total; the share of urgent openings of an earlier shortage stayed; a packet of a known flow allocated. - A suspended peer with a view was released at once, and its followers called the seeds all the time: 50 calls in 20 s instead of 4. - Targets that had left counted when the store lost reports, so that live targets were refused. - Ranks of peers were hashed for each comparison: 15 ms with 4,096 peers, under a lock that the packet loop waits for. - The gauge and the log line of the spilled share stayed at the last value.

Change: three targets of the own failure domain have to turn requests away, with a recent total; the reserve comes before the division; separate times of totals and of own signs; only a peer that has gained a view is released, and lost peers start short rounds every 10 s at most; targets in use are counted; hashes are kept; gauge and note end.

--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -37,7 +37,9 @@
             return;
         }
         lock(&self.context.peers).suspend(now, upstream);
-        self.context.discovery.peer_lost.notify_one();
+        if reason != FollowError::SourceLost {
+            self.context.discovery.peer_lost.notify_one();
+        }
         self.may_be_stale = self.revision.is_some();
     }
 
--- a/crates/edge/src/packets.rs
+++ b/crates/edge/src/packets.rs
@@ -289,6 +289,7 @@
         self.metrics
             .targets_cold
             .set(self.steer.cold_count(now) as i64);
+        self.metrics.spill_share.reset();
         for (service, share) in self.steer.spill_shares(now) {
             self.metrics
                 .spill_share
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use displaydoc::Display;
 use ids::Millis;
@@ -37,6 +37,10 @@
 /// Interval of later discovery rounds, and thus the time within which a better peer is found.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Minimum time between two losses of a peer that start short rounds. A peer that accepts followers
+/// and fails again and again would otherwise make all of them call the seeds all the time.
+const MIN_RESTART_INTERVAL: Duration = Duration::from_secs(10);
+
 /// An instance with an upstream peer calls the seeds in one of this many rounds. Seeds may be far
 /// away, and the upstream peer already calls them in every round.
 const ROUNDS_PER_SEED_CALL: u32 = 12;
@@ -103,6 +107,7 @@
     let own = lock(&peers).own().clone();
     let is_alone = seeds.iter().all(|seed| *seed == own.address);
     let mut round = 0_u32;
+    let mut restarted_at = Instant::now();
     loop {
         let upstream = lock(&peers).upstream(clock.now());
         let mut addresses: Vec<SocketAddr> = upstream.into_iter().collect();
@@ -143,7 +148,10 @@
         }
         tokio::select! {
             () = tokio::time::sleep(DISCOVERY_INTERVAL) => {}
-            () = signals.peer_lost.notified() => round = 0,
+            () = signals.peer_lost.notified(), if restarted_at.elapsed() >= MIN_RESTART_INTERVAL => {
+                restarted_at = Instant::now();
+                round = 0;
+            }
         }
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -165,11 +165,12 @@
     /// Asks the other failure domains for their load, unless this instance follows another one, which
     /// then does so.
     pub fn ask_remote_loads(&self) {
-        if lock(&self.upstream).is_some() {
+        let now = Instant::now();
+        if lock(&self.upstream).is_some() || !self.remote_loads.is_due(now) {
             return;
         }
         let known = lock(&self.peers).other_domains();
-        self.remote_loads.ask(Instant::now(), known);
+        self.remote_loads.ask(now, known);
     }
 
     /// Passes the loads and the openings of the failure domain, and the loads of other ones that are
--- a/crates/edge/src/remote_loads.rs
+++ b/crates/edge/src/remote_loads.rs
@@ -63,14 +63,18 @@
         }
     }
 
-    /// Asks one of the known instances of each domain, unless the last round was less than an interval
-    /// ago. Returns at once; the answers arrive later.
+    /// Returns whether the last round was at least an interval ago.
+    pub fn is_due(&self, now: Instant) -> bool {
+        lock(&self.asked_at).is_none_or(|at| now.duration_since(at) >= ASK_INTERVAL)
+    }
+
+    /// Asks one of the known instances of each domain, if a round is due. Returns at once; the answers
+    /// arrive later.
     pub fn ask(&self, now: Instant, known: Vec<(impl ToString, Vec<SocketAddr>)>) {
-        let mut asked_at = lock(&self.asked_at);
-        if asked_at.is_some_and(|at| now.duration_since(at) < ASK_INTERVAL) {
+        if !self.is_due(now) {
             return;
         }
-        *asked_at = Some(now);
+        *lock(&self.asked_at) = Some(now);
         let known = known.into_iter();
         let known: Vec<_> = known
             .map(|(domain, addresses)| (domain.to_string(), addresses))
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -15,7 +15,7 @@
 use crate::caller_shares::{CallerShares, Standing};
 use crate::demand::{Demands, MIN_SHARE};
 use crate::load::TargetLoad;
-use crate::model::{Priority, RouteTerms};
+use crate::model::{Priority, RouteTerms, TargetId};
 use crate::placement::SAMPLE_SIZE;
 use crate::reserve::{DEFERRABLE_SAMPLE_SIZE, Reserve, URGENT_SAMPLE_SIZE};
 
@@ -141,7 +141,10 @@
 pub struct Admission {
     /// Share of the deferrable openings that is admitted, as of the last report.
     share: f32,
+    /// When a report, or this instance itself, last showed how much room there is.
     observed_at: Option<Micros>,
+    /// When the last report was observed.
+    totalled_at: Option<Micros>,
     /// Time for which the reports have shown room again. Times with little room count less.
     room_s: f32,
     /// Requests per second that targets answered when a report last showed too little room.
@@ -161,6 +164,7 @@
         Self {
             share: 1.0,
             observed_at: None,
+            totalled_at: None,
             room_s: 0.0,
             short_rate: 0.0,
             demands: Demands::default(),
@@ -192,14 +196,14 @@
         self.reserve.record_answered();
     }
 
-    /// Records that a target turned a request of this instance away.
-    pub fn record_turned_away(&mut self, now: Micros) {
+    /// Records that a target of the own failure domain turned a request of this instance away.
+    pub fn record_turned_away(&mut self, now: Micros, target: TargetId) {
         let is_short = self.share(now) < 1.0;
-        if self.reserve.record_turned_away(now, is_short) {
+        if self.reserve.record_turned_away(now, target, is_short) {
             self.share = START_SHARE;
+            self.urgent_share = 1.0;
             self.observed_at = Some(now);
             self.room_s = 0.0;
-            self.callers.get_or_insert_default();
         }
     }
 
@@ -232,10 +236,14 @@
     /// Adapts the admitted share to a round of reports. The change depends on the time since the
     /// last round, so that it is equally fast at each interval.
     pub fn observe(&mut self, now: Micros, load: &ServiceLoad) {
-        let previous = self.observed_at.unwrap_or(now - FIRST_INTERVAL);
+        let previous = self.totalled_at.unwrap_or(now - FIRST_INTERVAL);
         let elapsed = seconds(now.since(previous).min(MAX_REPORT_AGE));
         let share = self.share(now);
         self.observed_at = Some(now);
+        self.totalled_at = Some(now);
+        if share >= 1.0 {
+            self.urgent_share = 1.0;
+        }
         self.demands.decay(now.since(previous));
         let arrivals = (load.answered + load.turned_away).max(1) as f32;
         let turned_away = load.turned_away as f32 / arrivals;
@@ -287,6 +295,11 @@
     /// # Errors
     /// Returns the reason if the flow is refused.
     pub fn decide(&mut self, now: Micros, request: &Request) -> Result<(), Refusal> {
+        if self.share(now) >= 1.0 {
+            self.callers = None;
+        } else if self.callers.is_none() {
+            self.callers = Some(Box::default());
+        }
         let decision = self.judge(now, request);
         if let Some(callers) = &mut self.callers {
             let priority = request.terms.priority;
@@ -296,7 +309,7 @@
             // Urgent requests that would all be late are demand for which others have to make room.
             // Deferred openings do not count: callers try again, and urgent requests would soon be
             // too small a part of all.
-            self.record_request(request.terms.priority);
+            self.demands.record_request(request.terms.priority);
         }
         decision
     }
@@ -315,7 +328,8 @@
             return Err(Refusal::Deadline);
         }
         let caller = request.caller;
-        let is_blind = self.reserve.is_blind(now);
+        let has_goal = request.terms.latency_goal > Millis(0);
+        let is_blind = has_goal && self.reserve.is_blind(now);
         let is_reserved =
             (request.is_reserved || is_blind) && !self.demands.is_most_urgent(priority);
         let share = self.demands.priority_share(share, priority);
@@ -330,6 +344,12 @@
         };
         let is_excess = standing != Standing::Regular;
         self.demands.record_opening(priority, is_excess);
+        // Before the division among callers, so that the priority keeps its minimum.
+        let share = if is_reserved {
+            share.min(MIN_SHARE)
+        } else {
+            share
+        };
         // Callers that are not over their share are never refused in the most urgent priority.
         let regular_share = if is_first {
             1.0
@@ -341,12 +361,11 @@
         } else {
             regular_share
         };
-        let limit = if is_reserved { MIN_SHARE } else { 1.0 };
-        let (share, regular_share) = (share.min(limit), regular_share.min(limit));
         let queue_limit = request.terms.latency_goal.0 as f32 * DEFER_SHARE;
         let is_domain_excess = matches!(standing, Standing::DomainExcess(_));
         let is_soon = request.expected_time.0 as f32 <= queue_limit && !is_reserved;
-        let has_room = request.is_target_free && !is_blind || is_soon && !is_domain_excess;
+        let has_room =
+            request.is_target_free && (is_first || !is_blind) || is_soon && !is_domain_excess;
         let is_admitted = has_room
             || match (standing, &mut self.callers) {
                 (Standing::DomainExcess(factor), Some(callers)) => {
--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -260,8 +260,10 @@
             }
             Response::TurnedAway => {
                 record.load.record_turned_away(now);
-                if let Some(admission) = self.admissions.get_mut(&record.target.service) {
-                    admission.record_turned_away(now);
+                if record.target.domain == self.settings.domain
+                    && let Some(admission) = self.admissions.get_mut(&record.target.service)
+                {
+                    admission.record_turned_away(now, id);
                 }
             }
         }
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -92,6 +92,8 @@
 #[derive(Debug)]
 struct KnownPeer {
     peer: Peer,
+    /// Hash of the address. Computing it for each comparison took 15 ms with 4,096 peers.
+    hash: u64,
     last_heard_at: Micros,
     /// Whether the peer had a view when it was last heard from.
     has_view: bool,
@@ -100,6 +102,10 @@
 }
 
 impl KnownPeer {
+    fn rank(&self) -> (Reverse<u64>, u64) {
+        (Reverse(self.peer.link_kbps), self.hash)
+    }
+
     fn report(&self, now: Micros) -> PeerReport {
         PeerReport {
             peer: self.peer.clone(),
@@ -168,19 +174,21 @@
         if let Some(known) = self.known.get_mut(&peer.address) {
             if last_heard_at >= known.last_heard_at {
                 known.last_heard_at = last_heard_at;
-                known.has_view = has_view;
-                // A peer that got a view after it was suspended for having none can be asked again.
-                if has_view && last_heard_at + SUSPENSION > known.suspended_until {
+                known.peer = peer;
+                // A peer that was suspended while it had no view can be asked once it has one.
+                let has_gained_view = has_view && !known.has_view;
+                if has_gained_view && last_heard_at + SUSPENSION > known.suspended_until {
                     known.suspended_until = Micros(0);
                 }
+                known.has_view = has_view;
             }
-            known.peer = peer;
             return;
         }
         if self.known.len() < MAX_PEERS {
             self.known.insert(
                 peer.address,
                 KnownPeer {
+                    hash: peer.hash(),
                     peer,
                     last_heard_at,
                     has_view,
@@ -203,7 +211,7 @@
             .known
             .values()
             .filter(|known| known.peer.domain == self.own.domain)
-            .map(|known| known.peer.rank())
+            .map(|known| known.rank())
             .chain(std::iter::once(self.own.rank()))
             .collect();
         ranks.sort_unstable();
@@ -250,7 +258,7 @@
             .better_peers()
             .filter(|known| now >= known.suspended_until)
             .collect();
-        let best = better.iter().min_by_key(|known| known.peer.rank())?;
+        let best = better.iter().min_by_key(|known| known.rank())?;
         if now >= best.full_until {
             return Some(best.peer.address);
         }
@@ -260,7 +268,7 @@
             .map(|known| {
                 (
                     Reverse(known.peer.link_kbps),
-                    self.pair_hash(&known.peer),
+                    hash_pair(self.own.hash(), known.hash),
                     known,
                 )
             })
@@ -278,11 +286,7 @@
         self.known
             .values()
             .filter(|known| known.peer.domain == self.own.domain)
-            .filter(move |known| known.peer.rank() < own_rank)
-    }
-
-    fn pair_hash(&self, peer: &Peer) -> u64 {
-        hash_pair(self.own.hash(), peer.hash())
+            .filter(move |known| known.rank() < own_rank)
     }
 
     /// Returns a peer that may have a view, preferably one that is known to have one, and of the same
@@ -293,9 +297,11 @@
             .values()
             .filter(|known| now >= known.suspended_until)
             .min_by_key(|known| {
-                let spread = known.has_view.then(|| self.pair_hash(&known.peer));
+                let spread = known
+                    .has_view
+                    .then(|| hash_pair(self.own.hash(), known.hash));
                 let is_far = known.peer.domain != self.own.domain;
-                (!known.has_view, is_far, spread, known.peer.rank())
+                (!known.has_view, is_far, spread, known.rank())
             })
             .map(|known| known.peer.address)
     }
@@ -311,17 +317,17 @@
     pub fn view_holders(&self, now: Micros) -> Vec<PeerReport> {
         let mut holders: Vec<&KnownPeer> =
             self.known.values().filter(|known| known.has_view).collect();
-        holders.sort_by_key(|known| (Reverse(known.last_heard_at), known.peer.rank()));
+        holders.sort_by_key(|known| (Reverse(known.last_heard_at), known.rank()));
         let holders = holders.into_iter().take(MAX_ADVERTISED_VIEW_HOLDERS);
         holders.map(|known| known.report(now)).collect()
     }
 
     /// Returns the known peers of each other failure domain, the best ones first.
     pub fn other_domains(&self) -> Vec<(SmolStr, Vec<SocketAddr>)> {
-        let others = self.known.values().map(|known| &known.peer);
-        let others = others.filter(|peer| peer.domain != self.own.domain);
+        let others = self.known.values();
+        let others = others.filter(|known| known.peer.domain != self.own.domain);
         let mut ranks: Vec<_> = others
-            .map(|peer| (peer.domain.clone(), peer.rank(), peer.address))
+            .map(|known| (known.peer.domain.clone(), known.rank(), known.peer.address))
             .collect();
         ranks.sort_unstable();
         let mut domains: Vec<(SmolStr, Vec<SocketAddr>)> = Vec::new();
@@ -351,7 +357,7 @@
             .values()
             .filter(|known| known.peer.domain == domain)
             .collect();
-        domain_peers.sort_by_key(|known| known.peer.rank());
+        domain_peers.sort_by_key(|known| known.rank());
         let count = if domain == self.own.domain {
             MAX_ADVERTISED_OWN_DOMAIN
         } else {
--- a/crates/steer/src/reserve.rs
+++ b/crates/steer/src/reserve.rs
@@ -7,6 +7,8 @@
 
 use ids::{Micros, Millis};
 
+use crate::model::TargetId;
+
 /// Number of targets that are compared for a flow of the most urgent priority. Instances with
 /// reports of the same age all choose the same targets if they compare more: with 6 instead of 4,
 /// targets turned away 0.090 instead of 0.083 of the arrivals of large fleets in the model.
@@ -46,6 +48,14 @@
 const MIN_TURNED_AWAY: u32 = 4;
 const MIN_RATIO: f32 = 0.25;
 
+/// Number of targets that have to turn them away, as in totals. One full target would otherwise make
+/// its service short of capacity beside idle targets.
+const MIN_SHORT_TARGETS: usize = 3;
+
+/// Age of the last total up to which this instance judges by what it sees itself. Without totals,
+/// the reserve would be kept again and again.
+const MAX_TOTAL_AGE: Millis = Millis(1_000);
+
 /// Requests that this instance saw answered and turned away.
 #[derive(Debug, Clone, Default)]
 struct RecentAnswers {
@@ -53,11 +63,13 @@
     from: Option<Micros>,
     answered: u32,
     turned_away: u32,
+    /// The first targets that turned requests away.
+    targets: [Option<TargetId>; MIN_SHORT_TARGETS],
 }
 
 impl RecentAnswers {
-    /// Counts a request that was turned away. Returns whether a shortage shows.
-    fn record_turned_away(&mut self, now: Micros) -> bool {
+    /// Counts a request that a target turned away. Returns whether a shortage shows.
+    fn record_turned_away(&mut self, now: Micros, target: TargetId) -> bool {
         if self.from.is_none_or(|from| now.since(from) >= WINDOW) {
             *self = Self {
                 from: Some(now),
@@ -65,7 +77,13 @@
             };
         }
         self.turned_away = self.turned_away.saturating_add(1);
+        if !self.targets.contains(&Some(target))
+            && let Some(free) = self.targets.iter_mut().find(|known| known.is_none())
+        {
+            *free = Some(target);
+        }
         self.turned_away >= MIN_TURNED_AWAY
+            && self.targets.iter().all(Option::is_some)
             && self.turned_away as f32 >= MIN_RATIO * self.answered as f32
     }
 }
@@ -75,6 +93,7 @@
 pub(crate) struct Reserve {
     recent_answers: RecentAnswers,
     first_observed_at: Option<Micros>,
+    last_observed_at: Option<Micros>,
     kept_until: Micros,
     blind_until: Micros,
 }
@@ -88,8 +107,17 @@
 
     /// Counts a request that was turned away. Returns whether this instance sees the start of a
     /// shortage that no total shows yet.
-    pub(crate) fn record_turned_away(&mut self, now: Micros, is_short: bool) -> bool {
-        let starts = self.recent_answers.record_turned_away(now) && !is_short;
+    pub(crate) fn record_turned_away(
+        &mut self,
+        now: Micros,
+        target: TargetId,
+        is_short: bool,
+    ) -> bool {
+        let has_total = self
+            .last_observed_at
+            .is_some_and(|at| now.since(at) <= MAX_TOTAL_AGE);
+        let shows_shortage = self.recent_answers.record_turned_away(now, target);
+        let starts = shows_shortage && !is_short && has_total && self.has_learned(now);
         if starts {
             self.kept_until = now + KEEP_TIME;
             self.blind_until = now + BLIND_TIME;
@@ -100,11 +128,19 @@
     /// Records whether the service is short of capacity as of a total.
     pub(crate) fn observe(&mut self, now: Micros, is_short: bool) {
         self.first_observed_at.get_or_insert(now);
+        self.last_observed_at = Some(now);
         if is_short {
             self.kept_until = now + KEEP_TIME;
+        } else {
+            self.blind_until = now;
         }
     }
 
+    fn has_learned(&self, now: Micros) -> bool {
+        self.first_observed_at
+            .is_some_and(|at| now >= at + LEARNING_TIME)
+    }
+
     /// Returns whether a total or this instance has shown a shortage lately.
     pub(crate) fn is_kept(&self, now: Micros) -> bool {
         now < self.kept_until
@@ -125,9 +161,8 @@
         expected_time: Millis,
         more_urgent_part: f32,
     ) -> bool {
-        let reserve_from = self.first_observed_at.map(|at| at + LEARNING_TIME);
         let has_goal = latency_goal > Millis(0);
-        if !has_goal || !self.is_kept(now) || reserve_from.is_none_or(|from| now < from) {
+        if !has_goal || !self.is_kept(now) || !self.has_learned(now) {
             return false;
         }
         let reserve = (more_urgent_part / FULL_RESERVE_PART).min(1.0);
--- a/crates/steer/src/service_index.rs
+++ b/crates/steer/src/service_index.rs
@@ -10,6 +10,7 @@
 use crate::evidence::StalledRequests;
 use crate::model::{Target, TargetId};
 use crate::stall_sum::StallSum;
+use crate::target_state::TargetState;
 
 /// The targets of a service in one failure domain.
 #[derive(Debug)]
@@ -18,7 +19,9 @@
     pub domain: SmolStr,
     /// The targets, in any order.
     pub ids: Vec<TargetId>,
-    /// Number of them whose reports have disappeared without a drain.
+    /// Number of them that accept new flows by their reports.
+    serving: usize,
+    /// Number of those whose reports have disappeared without a drain.
     lapsed: usize,
 }
 
@@ -27,9 +30,18 @@
 const MAX_LOST_PART: f32 = 0.25;
 
 impl DomainTargets {
+    fn adjust(&mut self, state: TargetState, change: isize) {
+        let count = match state {
+            TargetState::Serving => &mut self.serving,
+            TargetState::Lapsed => &mut self.lapsed,
+            _ => return,
+        };
+        *count = count.saturating_add_signed(change);
+    }
+
     /// Returns whether so many reports have disappeared that the store has probably lost them.
     pub(crate) fn are_reports_lost(&self) -> bool {
-        self.lapsed as f32 > MAX_LOST_PART * self.ids.len() as f32
+        self.lapsed as f32 > MAX_LOST_PART * (self.serving + self.lapsed) as f32
     }
 }
 
@@ -80,6 +92,7 @@
         self.domains.push(DomainTargets {
             domain: domain.clone(),
             ids: vec![id],
+            serving: 0,
             lapsed: 0,
         });
     }
@@ -119,13 +132,13 @@
         self.services.get_mut(name)
     }
 
-    /// Counts a target whose state has changed.
-    pub(crate) fn count_lapsed(&mut self, target: &Target, was_lapsed: bool, is_lapsed: bool) {
+    /// Counts a target whose state changes.
+    pub(crate) fn count_state(&mut self, target: &Target, from: TargetState, to: TargetState) {
         let service = self.services.get_mut(&target.service);
         let lists = service.into_iter().flat_map(|service| &mut service.domains);
         for list in lists.filter(|list| list.domain == target.domain) {
-            list.lapsed += usize::from(is_lapsed);
-            list.lapsed = list.lapsed.saturating_sub(usize::from(was_lapsed));
+            list.adjust(to, 1);
+            list.adjust(from, -1);
         }
     }
 
--- a/crates/steer/src/spill.rs
+++ b/crates/steer/src/spill.rs
@@ -413,7 +413,9 @@
             }
         }
         let mut services = std::mem::take(&mut self.spill.services);
-        services.retain(|_, spill| spill.knows_others(now) || spill.share(now) > 0.0);
+        services.retain(|_, spill| {
+            spill.knows_others(now) || spill.share(now) > 0.0 || spill.noted_share > 0.0
+        });
         for (service, spill) in &mut services {
             let inputs = Inputs {
                 own: self.own_load(now, service),
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -68,8 +68,7 @@
         input: TargetEvent,
     ) -> Option<ViewChange> {
         let next = chart.next(self.state, input)?;
-        let is_lapsed = |state| state == TargetState::Lapsed;
-        services.count_lapsed(&self.target, is_lapsed(self.state), is_lapsed(next));
+        services.count_state(&self.target, self.state, next);
         self.state = next;
         self.state_since = now;
         Some(self.state_change())
@@ -466,6 +465,8 @@
             let is_moved =
                 record.target.service != target.service || record.target.domain != target.domain;
             if is_moved {
+                self.services
+                    .count_state(&record.target, record.state, TargetState::New);
                 self.services
                     .remove(&record.target, &record.stalled_requests);
             } else if !is_same {
@@ -481,6 +482,8 @@
             }
             if is_moved {
                 self.services.insert(now, &target, &record.stalled_requests);
+                self.services
+                    .count_state(&target, TargetState::New, record.state);
             }
             record.target = target;
             record.revision = revision;
--- a/crates/steer/tests/cold_targets.rs
+++ b/crates/steer/tests/cold_targets.rs
@@ -167,6 +167,18 @@
         assert!(flows_to(&mut instance, 3) > 0);
     }
 
+    // Guards against live targets that are refused because many others have left: the part of lost
+    // reports is that of the targets in use.
+    departed_targets_do_not_count_as_reporting => {
+        let targets = (1..=24).map(|id| new_target(id, "rates", "a")).collect();
+        let mut instance = new_instance(targets);
+        let drain = |id| Change::Target(Target { is_draining: true, sequence: 9, ..new_target(id, "rates", "a") });
+        instance.publish((5..=24).map(drain).collect());
+        instance.publish((5..=24).map(|id| Change::TargetGone(TargetId(id))).collect());
+        instance.publish((1..=4).map(|id| Change::TargetGone(TargetId(id))).collect());
+        assert!((1..=4).contains(&open(&mut instance)));
+    }
+
     // Guards against unused live targets when the store loses their reports.
     targets_are_used_if_many_reports_disappear => {
         let targets = (1..=5).map(|id| new_target(id, "rates", "a")).collect();
--- a/crates/steer/tests/peers.rs
+++ b/crates/steer/tests/peers.rs
@@ -172,6 +172,16 @@
         assert_eq!(peers.fallback(later), Some(holder.address));
     }
 
+    /// Guards against a peer with a view that is asked again at once after it failed.
+    suspended_peer_with_a_view_stays_suspended => {
+        let holder = peer(9, "a", 200_000);
+        let mut peers = peers_of(1, &[]);
+        peers.learn(NOW, report(&holder, true));
+        peers.suspend(NOW, holder.address);
+        peers.learn(NOW + Millis(400), report(&holder, true));
+        assert_eq!(peers.upstream(NOW + Millis(400)), None);
+    }
+
     /// Guards against all starting instances asking the same peer for a complete view.
     starting_instances_ask_different_holders => {
         let holders: Vec<Peer> = (201..=204).map(|last| peer(last, "a", 200_000)).collect();
--- a/crates/steer/tests/reserve.rs
+++ b/crates/steer/tests/reserve.rs
@@ -5,7 +5,7 @@
 use ids::{Micros, Millis};
 use steer::admission::{Admission, Refusal, Request, ServiceLoad};
 use steer::placement::SAMPLE_SIZE;
-use steer::{Priority, RouteTerms};
+use steer::{Priority, RouteTerms, TargetId};
 
 const START: Micros = Micros(50_000_000);
 
@@ -38,7 +38,7 @@
 /// Records requests that are turned away at an interval.
 fn turn_away(admission: &mut Admission, now: Micros, count: u64, interval: Millis) {
     (0..count).for_each(|index| {
-        admission.record_turned_away(now + Millis(index * interval.0));
+        admission.record_turned_away(now + Millis(index * interval.0), TargetId(index % 3));
     });
 }
 
@@ -52,7 +52,7 @@
         assert_eq!(admission.share(now) < 1.0, is_short, "{count}, {interval}");
     }
     let (mut admission, now) = calm(&[(0, 100)]);
-    admission.record_turned_away(now);
+    admission.record_turned_away(now, TargetId(0));
     (0..100).for_each(|_| admission.record_request(Priority(0)));
     turn_away(&mut admission, now, 10, Millis(1));
     assert_eq!(admission.share(now), 1.0);
@@ -138,3 +138,19 @@
     assert!((1_860..1_940).contains(&refused(&mut admission, now, 1, false)));
     assert_eq!(refused(&mut admission, now + Millis(1), 1, false), 0);
 }
+
+/// Guards against one full target that makes its service short of capacity beside idle ones.
+#[test]
+fn one_full_target_shows_no_shortage() {
+    let (mut admission, now) = calm(&[(0, 100), (1, 100)]);
+    (0..20).for_each(|_| admission.record_turned_away(now, TargetId(1)));
+    assert_eq!(admission.share(now), 1.0);
+}
+
+/// Guards against a reserve that is kept again and again by an instance that gets no totals.
+#[test]
+fn shortage_is_not_seen_without_totals() {
+    let (mut admission, now) = calm(&[(0, 100), (1, 100)]);
+    turn_away(&mut admission, now + Millis(1_500), 20, Millis(0));
+    assert_eq!(admission.share(now + Millis(1_500)), 1.0);
+}
