Let slow targets be filled as far as others beside the reserve

Cause: a target had only the reserve left if it needed more than a fifth of the latency goal. A target four times slower needs that for a single request, so its free slots stayed empty while less urgent flows were refused.

Change: the limit applies to the queue at the usual speed, and half of the goal to the expected time.

--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -225,12 +225,23 @@
         }
     }
 
-    /// Returns whether a target that needs this time has only the reserve for more urgent flows
-    /// left.
-    pub fn is_reserved(&self, now: Micros, terms: &RouteTerms, expected_time: Millis) -> bool {
+    /// Returns whether a target that needs this time, and with its queue at the usual speed that time,
+    /// has only the reserve for more urgent flows left.
+    pub fn is_reserved(
+        &self,
+        now: Micros,
+        terms: &RouteTerms,
+        expected_time: Millis,
+        queue_time: Millis,
+    ) -> bool {
         let more_urgent_part = self.demands.more_urgent_part(terms.priority);
-        self.reserve
-            .is_reserved(now, terms.latency_goal, expected_time, more_urgent_part)
+        self.reserve.is_reserved(
+            now,
+            terms.latency_goal,
+            expected_time,
+            queue_time,
+            more_urgent_part,
+        )
     }
 
     /// Adapts the admitted share to a round of reports. The change depends on the time since the
--- a/crates/steer/src/opening.rs
+++ b/crates/steer/src/opening.rs
@@ -100,7 +100,12 @@
             caller: *flow.caller.ip(),
             expected_time,
             is_target_free: choice.rounds <= 1.0,
-            is_reserved: admission.is_reserved(now, &terms, expected_time),
+            is_reserved: admission.is_reserved(
+                now,
+                &terms,
+                expected_time,
+                Millis((choice.queue_rounds * service_time_ms) as u64),
+            ),
         };
         let Err(refusal) = admission.decide(now, &request) else {
             return Ok(());
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -43,6 +43,8 @@
     pub target: TargetId,
     /// Expected time for the flow's request in units of the route's mean time.
     pub rounds: f32,
+    /// Rounds of the target's queue, however long a round takes.
+    pub queue_rounds: f32,
 }
 
 /// A target that is compared with others.
@@ -325,14 +327,15 @@
             0.0
         };
         let round_time = record.load.slowness() * cold_factor;
-        let queue_rounds = ((pending + 1.0) / slots + full_rounds) * round_time;
+        let queue_rounds = (pending + 1.0) / slots + full_rounds;
         // A slow target with a long queue shows in its response times before its slowness is known.
-        let rounds = queue_rounds.max(record.load.response_rounds(self.now));
+        let rounds = (queue_rounds * round_time).max(record.load.response_rounds(self.now));
         let flow_rounds = record.load.flow_demand(self.now) / slots * round_time;
         Candidate {
             choice: Choice {
                 target: record.target.id,
                 rounds,
+                queue_rounds,
             },
             load: rounds + flow_rounds,
         }
--- a/crates/steer/src/reserve.rs
+++ b/crates/steer/src/reserve.rs
@@ -151,14 +151,15 @@
         now < self.blind_until
     }
 
-    /// Returns whether a target that needs `expected_time` for a flow has only the reserve left, if
-    /// `more_urgent_part` of the requests are more urgent than the flow. Routes without a latency
-    /// goal leave no reserve.
+    /// Returns whether a target has only the reserve left, if it needs `expected_time` for a flow, a
+    /// target of usual speed with the same queue `queue_time`, and `more_urgent_part` of the requests
+    /// are more urgent than the flow. Routes without a latency goal leave no reserve.
     pub(crate) fn is_reserved(
         &self,
         now: Micros,
         latency_goal: Millis,
         expected_time: Millis,
+        queue_time: Millis,
         more_urgent_part: f32,
     ) -> bool {
         let has_goal = latency_goal > Millis(0);
@@ -167,6 +168,8 @@
         }
         let reserve = (more_urgent_part / FULL_RESERVE_PART).min(1.0);
         let limit = EMPTY_RESERVE_LIMIT + reserve * (FULL_RESERVE_LIMIT - EMPTY_RESERVE_LIMIT);
-        expected_time.0 as f32 > limit * latency_goal.0 as f32
+        let goal = latency_goal.0 as f32;
+        // Urgent flows avoid slow targets, so that these may be filled as far as others.
+        expected_time.0 as f32 > EMPTY_RESERVE_LIMIT * goal || queue_time.0 as f32 > limit * goal
     }
 }
--- a/crates/steer/tests/reserve.rs
+++ b/crates/steer/tests/reserve.rs
@@ -78,7 +78,7 @@
 #[test]
 fn reserve_follows_the_urgent_demand() {
     let is_reserved = |admission: &Admission, now, priority, time| {
-        admission.is_reserved(now, &terms(priority), Millis(time))
+        admission.is_reserved(now, &terms(priority), Millis(time), Millis(time))
     };
     for (urgent, limit) in [(0, 100), (50, 70), (100, 40), (900, 40)] {
         let (mut admission, now) = calm(&[(0, urgent), (1, 1_000 - urgent)]);
@@ -92,7 +92,7 @@
             latency_goal: Millis(0),
             ..terms(1)
         };
-        assert!(!admission.is_reserved(now, &no_goal, Millis(500)));
+        assert!(!admission.is_reserved(now, &no_goal, Millis(500), Millis(500)));
     }
 }
 
