Limit urgent openings only while the others are at their minimum

Cause, found by the review: the share of urgent openings grew back together with the share of the others, so that a caller over its share was refused urgent openings while half of the less urgent ones were admitted. A peer of another failure domain that had got no totals for long was asked again and again. A test of old information about a dead peer could not fail.

Change: the share of urgent openings applies while the others are at their minimum; an answer without a recent load counts as a failure, so that another instance is asked next.

--- a/crates/edge/src/remote_loads.rs
+++ b/crates/edge/src/remote_loads.rs
@@ -11,6 +11,7 @@
 use ids::Millis;
 use slog::{Logger, debug};
 use steer::RemoteLoad;
+use steer::remote_loads::MAX_SUMMARY_AGE;
 use tokio::sync::oneshot;
 use tonic::Status;
 use tonic::transport::Channel;
@@ -110,11 +111,18 @@
             return;
         };
         domain.is_being_asked = false;
+        let result = result.and_then(|(client, mut loads)| {
+            // A peer only knows the load of its own domain. If it has got no totals lately, another
+            // instance of the domain may have.
+            loads.retain(|load| load.domain == name && load.age_ms <= MAX_SUMMARY_AGE.0);
+            loads.truncate(MAX_ENTRIES);
+            match loads.is_empty() {
+                true => Err("no recent load of the domain".to_owned()),
+                false => Ok((client, loads)),
+            }
+        });
         match result {
-            Ok((client, mut loads)) => {
-                // A peer only knows the load of its own domain.
-                loads.retain(|load| load.domain == name);
-                loads.truncate(MAX_ENTRIES);
+            Ok((client, loads)) => {
                 domain.client = Some((address, client));
                 domain.answer = Some((Instant::now(), loads));
             }
--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -343,9 +343,15 @@
         let is_blind = has_goal && self.reserve.is_blind(now);
         let is_reserved =
             (request.is_reserved || is_blind) && !self.demands.is_most_urgent(priority);
+        // Urgent openings are only limited while the others are at their minimum.
+        let urgent_share = if share > MIN_SHARE {
+            1.0
+        } else {
+            self.urgent_share
+        };
         let share = self.demands.priority_share(share, priority);
         let is_first = share >= 1.0 && !is_reserved;
-        let share = if is_first { self.urgent_share } else { share };
+        let share = if is_first { urgent_share } else { share };
         if share >= 1.0 && !is_reserved {
             return Ok(());
         }
--- a/crates/steer/tests/peers.rs
+++ b/crates/steer/tests/peers.rs
@@ -200,7 +200,9 @@
     old_news_of_a_dead_peer_does_not_keep_it => {
         let dead = peer(9, "a", 200_000);
         let mut peers = peers_of(1, std::slice::from_ref(&dead));
-        peers.learn(NOW, report(&dead, false));
+        let later = NOW + Millis(10_000);
+        let heard_before = PeerReport { heard_age: Millis(10_000), ..report(&dead, false) };
+        peers.learn(later, heard_before);
         peers.expire(NOW + Millis(20_001));
         assert!(peers.best_of_domain(NOW, "a").is_empty());
     }
