--- a/crates/steer/src/admission.rs
+++ b/crates/steer/src/admission.rs
@@ -136,6 +136,19 @@
     CallerShare,
 }
 
+/// What limits the openings of one priority.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    /// Share of them that is admitted.
+    share: f32,
+    /// Whether the priority is admitted whole as long as it fits.
+    is_first: bool,
+    /// Whether the target has only the reserve for more urgent flows left.
+    is_reserved: bool,
+    /// Whether totals do not show the queues of the targets yet.
+    is_blind: bool,
+}
+
 /// Admission to the targets of one service.
 #[derive(Debug, Clone)]
 pub struct Admission {
@@ -326,9 +339,7 @@
     }
 
     fn judge(&mut self, now: Micros, request: &Request) -> Result<(), Refusal> {
-        let RouteTerms {
-            priority, timeout, ..
-        } = request.terms;
+        let timeout = request.terms.timeout;
         let share = self.share(now);
         if share >= 1.0 && !self.reserve.is_kept(now) {
             // Pending requests of callers that have given up look like a queue. Only answers and
@@ -338,35 +349,59 @@
         if share < 1.0 && timeout > Millis(0) && request.expected_time > timeout {
             return Err(Refusal::Deadline);
         }
-        let caller = request.caller;
+        let limits = self.limits(now, request, share);
+        if limits.share >= 1.0 && !limits.is_reserved {
+            return Ok(());
+        }
+        self.judge_caller(now, request, limits)
+    }
+
+    /// Returns what limits the openings of a request's priority if `share` of the less urgent ones is
+    /// admitted.
+    fn limits(&self, now: Micros, request: &Request, share: f32) -> Limits {
+        let priority = request.terms.priority;
         let has_goal = request.terms.latency_goal > Millis(0);
         let is_blind = has_goal && self.reserve.is_blind(now);
         let is_reserved =
             (request.is_reserved || is_blind) && !self.demands.is_most_urgent(priority);
+        let priority_share = self.demands.priority_share(share, priority);
+        let is_first = priority_share >= 1.0 && !is_reserved;
         // Urgent openings are only limited while the others are at their minimum.
         let urgent_share = if share > MIN_SHARE {
             1.0
         } else {
             self.urgent_share
         };
-        let share = self.demands.priority_share(share, priority);
-        let is_first = share >= 1.0 && !is_reserved;
-        let share = if is_first { urgent_share } else { share };
-        if share >= 1.0 && !is_reserved {
-            return Ok(());
+        Limits {
+            share: match (is_first, is_reserved) {
+                (true, _) => urgent_share,
+                (_, true) => priority_share.min(MIN_SHARE),
+                _ => priority_share,
+            },
+            is_first,
+            is_reserved,
+            is_blind,
         }
+    }
+
+    /// Decides by the target's room and by what the caller has had already.
+    fn judge_caller(
+        &mut self,
+        now: Micros,
+        request: &Request,
+        limits: Limits,
+    ) -> Result<(), Refusal> {
+        let Limits {
+            share, is_first, ..
+        } = limits;
+        let priority = request.terms.priority;
+        let caller = request.caller;
         let standing = match &mut self.callers {
             Some(callers) => callers.standing(now, priority, caller, is_first),
             None => Standing::Regular,
         };
         let is_excess = standing != Standing::Regular;
         self.demands.record_opening(priority, is_excess);
-        // Before the division among callers, so that the priority keeps its minimum.
-        let share = if is_reserved {
-            share.min(MIN_SHARE)
-        } else {
-            share
-        };
         // Callers that are not over their share are never refused in the most urgent priority.
         let regular_share = if is_first {
             1.0
@@ -380,9 +415,9 @@
         };
         let queue_limit = request.terms.latency_goal.0 as f32 * DEFER_SHARE;
         let is_domain_excess = matches!(standing, Standing::DomainExcess(_));
-        let is_soon = request.expected_time.0 as f32 <= queue_limit && !is_reserved;
-        let has_room =
-            request.is_target_free && (is_first || !is_blind) || is_soon && !is_domain_excess;
+        let is_soon = request.expected_time.0 as f32 <= queue_limit && !limits.is_reserved;
+        let is_free = request.is_target_free && (is_first || !limits.is_blind);
+        let has_room = is_free || is_soon && !is_domain_excess;
         let is_admitted = has_room
             || match (standing, &mut self.callers) {
                 (Standing::DomainExcess(factor), Some(callers)) => {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -9,7 +9,9 @@
 //! [`placement`] or `established` with [`flow`], and `passive_health` with [`evidence`]; the result
 //! is a [`verdict`]. [`model`], [`catalog`] with `domain_orders`, [`view`], [`target_state`] and
 //! [`domains`] hold the published state in the order of [`revision`], [`service_index`] with
-//! `stall_sum` groups the targets, `reserve` keeps capacity free for urgent flows, `retry_budget` limits resent opening packets, `tokens` tells targets with equal tokens apart, [`cold_start`] limits the flows of targets that have just started, [`peers`]
+//! `stall_sum` groups the targets, `reserve` keeps capacity free for urgent flows, `retry_budget`
+//! limits resent opening packets, `tokens` tells targets with equal tokens apart, [`cold_start`]
+//! limits the flows of targets that have just started, [`peers`]
 //! decides which instance reads the published state from the store, [`store_turn`] decides when the
 //! others call it, and [`status`] reports the state to operators. [`load`], [`flow_demand`] and [`work`]
 //! hold the load of the targets. [`document_check`] examines a configuration before it is published.
