Name the target and the evidence in the line of a reset flow

Change: for open flows the line has the target, the token and whether other targets have it, the target's state and its age, the time since it was last heard and the number of unanswered requests.

--- a/crates/edge/src/recorder.rs
+++ b/crates/edge/src/recorder.rs
@@ -5,7 +5,7 @@
 use steer::admission::Refusal;
 use steer::evidence::UnansweredPacket;
 use steer::view::{TargetRecord, ViewChange};
-use steer::{DomainState, DropReason, FlowId, Note, ResetReason, Revision, View};
+use steer::{DomainState, DropReason, FlowId, Note, ResetReason, Revision, TargetId, Token, View};
 
 use crate::line_limiter::LineLimiter;
 use crate::log_fields::AtRevision;
@@ -102,7 +102,11 @@
                 info!(self.log, "target assumed cold"; "target" => %target,
                     "warmup_ms" => warmup.0);
             }
-            Note::Reset { flow, reason } => self.record_reset(now, view, flow, reason),
+            Note::Reset {
+                flow,
+                reason,
+                attribution,
+            } => self.record_reset(now, view, flow, reason, attribution),
             Note::Refused {
                 flow,
                 service,
@@ -194,13 +198,33 @@
         }
     }
 
-    fn record_reset(&mut self, now: Micros, view: &View, flow: FlowId, reason: ResetReason) {
+    fn record_reset(
+        &mut self,
+        now: Micros,
+        view: &View,
+        flow: FlowId,
+        reason: ResetReason,
+        attribution: Option<(Token, TargetId)>,
+    ) {
         let label = reset_label(reason);
         self.metrics.flows_reset.with_label_values(&[label]).inc();
-        if self.unusual_limiter.try_take(now) {
+        if !self.unusual_limiter.try_take(now) {
+            return;
+        }
+        let record = attribution.and_then(|(_, id)| view.record(id));
+        let Some((record, (token, id))) = record.zip(attribution) else {
             info!(self.log, "flow reset"; "flow" => %flow, "reason" => label,
                 "document" => view.version(), AtRevision(view.revision()));
-        }
+            return;
+        };
+        let responsiveness = &record.responsiveness;
+        info!(self.log, "flow reset"; "flow" => %flow, "reason" => label, "target" => %id,
+            "token" => token.0, "token_shared" => view.is_shared_token(token),
+            "target_state" => chart::Label::name(record.state),
+            "state_ms" => now.since(record.state_since).0,
+            "heard_before_ms" => now.since(responsiveness.last_response_at()).0,
+            "requests_unanswered" => responsiveness.unanswered_requests(),
+            "document" => view.version(), AtRevision(view.revision()));
     }
 
     fn record_view_change(&self, view: &View, change: ViewChange) {
--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -55,7 +55,13 @@
 }
 
 impl Steer {
-    pub(crate) fn on_established_packet(&mut self, now: Micros, segment: &Segment) -> Verdict {
+    /// Handles a packet of an established flow, given the target that its token identifies.
+    pub(crate) fn on_established_packet(
+        &mut self,
+        now: Micros,
+        segment: &Segment,
+        target: Option<TargetId>,
+    ) -> Verdict {
         if segment.token == Token(0) {
             self.remove_flow(now, &segment.flow);
             return Verdict::Drop(match segment.kind {
@@ -63,7 +69,7 @@
                 _ => DropReason::NoToken,
             });
         }
-        let Some(id) = self.target_of_segment(segment) else {
+        let Some(id) = target else {
             return Verdict::Drop(DropReason::UnknownToken);
         };
         let Some(to) = self.destination(id) else {
@@ -82,7 +88,10 @@
 
     /// Returns the target of an established flow. If its token belongs to several targets, the flow
     /// table decides: the flow may have been opened before the first of them was known.
-    fn target_of_segment(&self, segment: &Segment) -> Option<TargetId> {
+    pub(crate) fn target_of_segment(&self, segment: &Segment) -> Option<TargetId> {
+        if segment.token == Token(0) {
+            return None;
+        }
         if self.view.is_shared_token(segment.token)
             && let Some(flow) = self.flows.get(&segment.flow)
         {
--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -127,6 +127,11 @@
         self.last_response_at
     }
 
+    /// Returns the number of unanswered requests of established flows since the last response.
+    pub fn unanswered_requests(&self) -> u32 {
+        self.unanswered_requests
+    }
+
     /// Returns whether the target gets no new flows.
     pub fn is_avoided(&self, now: Micros) -> bool {
         now < self.avoid_until
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -191,10 +191,12 @@
     /// Decides what to do with a packet, given as its decoded header and all its bytes.
     pub fn on_segment(&mut self, now: Micros, segment: &Segment, packet: &[u8]) -> Verdict {
         self.detect_stalled_requests(now);
-        let verdict = match segment.kind {
-            PacketKind::Open { .. } => self.on_opening_packet(now, segment, packet),
+        let (verdict, attribution) = match segment.kind {
+            PacketKind::Open { .. } => (self.on_opening_packet(now, segment, packet), None),
             PacketKind::Data | PacketKind::Finish | PacketKind::Abort => {
-                self.on_established_packet(now, segment)
+                let target = self.target_of_segment(segment);
+                let verdict = self.on_established_packet(now, segment, target);
+                (verdict, target.map(|id| (segment.token, id)))
             }
         };
         match verdict {
@@ -202,6 +204,7 @@
             Verdict::Reset(reason) => self.notes.push(Note::Reset {
                 flow: segment.flow,
                 reason,
+                attribution,
             }),
             Verdict::Drop(reason) => self.notes.push(Note::Dropped {
                 flow: segment.flow,
--- a/crates/steer/src/verdict.rs
+++ b/crates/steer/src/verdict.rs
@@ -124,6 +124,8 @@
         flow: FlowId,
         /// The reason.
         reason: ResetReason,
+        /// The token of the packet and the target to which it led, if the flow was open.
+        attribution: Option<(Token, TargetId)>,
     },
     /// An unanswered opening packet was not sent to a further target, because targets turn requests
     /// away and the budget for it is used up.
