--- a/crates/steer/src/domain_loads.rs
+++ b/crates/steer/src/domain_loads.rs
@@ -104,9 +104,10 @@
         let mut service_loads: HashMap<SmolStr, DomainLoad> = HashMap::new();
         let had_queued_requests = std::mem::take(&mut self.has_queued_requests);
         for report in loads {
-            let Some(id) = self.view.target_by_token(report.token) else {
+            let Some(id) = self.view.target_by_token(now, report.token) else {
                 continue;
             };
+            let is_assumed = self.view.is_shared_token(report.token);
             let Some(record) = self.view.record_mut(id) else {
                 continue;
             };
@@ -115,6 +116,7 @@
             self.has_queued_requests |= report.pending > record.target.slots;
             if let Some(answered_at) = answered_at
                 && report.answered > 0
+                && !is_assumed
             {
                 record.responsiveness.record_response(now, answered_at);
             }
--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -75,6 +75,10 @@
         let Some(to) = self.destination(id) else {
             return Verdict::Drop(DropReason::UnknownToken);
         };
+        let flow = self.flows.get(&segment.flow);
+        if flow.is_some_and(|flow| flow.is_target_assumed && flow.target != id) {
+            self.remove_flow(now, &segment.flow);
+        }
         self.update_flow(now, id, segment);
         if let Some(reason) = self.reset_reason(now, id, segment) {
             self.remove_flow(now, &segment.flow);
@@ -88,12 +92,13 @@
 
     /// Returns the target of an established flow. If its token belongs to several targets, the flow
     /// table decides: the flow may have been opened before the first of them was known.
-    pub(crate) fn target_of_segment(&self, segment: &Segment) -> Option<TargetId> {
+    pub(crate) fn target_of_segment(&self, now: Micros, segment: &Segment) -> Option<TargetId> {
         if segment.token == Token(0) {
             return None;
         }
         if self.view.is_shared_token(segment.token)
             && let Some(flow) = self.flows.get(&segment.flow)
+            && !flow.is_target_assumed
         {
             let tried = match &flow.stage {
                 Stage::Opening { tried, .. } => tried.as_slice(),
@@ -104,7 +109,7 @@
                 return known.copied();
             }
         }
-        self.view.target_by_token(segment.token)
+        self.view.target_by_token(now, segment.token)
     }
 
     /// Returns why the flow should be reset, if it should: its target cannot respond, and its
@@ -118,17 +123,29 @@
             return Some(ResetReason::TargetGone);
         }
         let is_silent = self.is_only_target_silent(now, id)
-            && !record.load.has_answered_within(now, PEER_ANSWER_WINDOW);
+            && !record.load.has_answered_within(now, PEER_ANSWER_WINDOW)
+            && !self.is_target_assumed(segment);
         is_silent.then_some(ResetReason::TargetSilent)
     }
 
+    /// Returns whether a packet may belong to a flow of another target with the same token.
+    fn is_target_assumed(&self, segment: &Segment) -> bool {
+        match self.flows.get(&segment.flow) {
+            Some(flow) => flow.is_target_assumed,
+            None => self.view.is_shared_token(segment.token),
+        }
+    }
+
     /// Updates the flow and the health of its target from a packet.
     fn update_flow(&mut self, now: Micros, id: TargetId, segment: &Segment) {
         let Some(flow) = self.flows.get_mut(&segment.flow) else {
             if segment.kind != PacketKind::Data {
                 return;
             }
-            let mut flow = Flow::established(now, id, segment);
+            let mut flow = Flow {
+                is_target_assumed: self.view.is_shared_token(segment.token),
+                ..Flow::established(now, id, segment)
+            };
             let progress = flow.on_packet(now, segment);
             if self.flows.insert(segment.flow, flow) {
                 self.adjust_counts(id, i32::from(progress == Progress::RequestSent), 1);
@@ -174,6 +191,7 @@
         };
         let had_sent_request = flow.has_sent_request;
         let (queue_length, handshake_ms) = (flow.queue_length, flow.handshake_ms);
+        let is_target_assumed = flow.is_target_assumed;
         let received_before = flow.received_until;
         let progress = flow.on_packet(now, segment);
         if let Progress::Responded {
@@ -191,8 +209,10 @@
                 let has_next_request = flow.request_sent_at.is_some();
                 let change = i32::from(has_next_request) - i32::from(response_time.is_some());
                 self.adjust_counts(id, change, 0);
-                self.record_response(now, id);
-                if let Some(response_time) = response_time {
+                if !is_target_assumed {
+                    self.record_response(now, id);
+                }
+                if let Some(response_time) = response_time.filter(|_| !is_target_assumed) {
                     self.record_response_time(response_time);
                     let answer = Answer {
                         queue_length,
@@ -204,7 +224,8 @@
                 }
             }
             Progress::Retransmitted { request_sent_at } => {
-                if !std::mem::replace(&mut flow.is_reported_unanswered, true) {
+                if !std::mem::replace(&mut flow.is_reported_unanswered, true) && !is_target_assumed
+                {
                     self.record_unanswered(
                         now,
                         id,
--- a/crates/steer/src/flow.rs
+++ b/crates/steer/src/flow.rs
@@ -76,6 +76,9 @@
     pub stage: Stage,
     /// The target to which the flow is attributed.
     pub target: TargetId,
+    /// Whether the flow may be that of another target with the same token. It then says nothing about
+    /// either of them.
+    pub is_target_assumed: bool,
     /// When the last packet was received.
     pub last_packet_at: Micros,
     /// When the first packet was received.
@@ -153,6 +156,7 @@
         Self {
             stage: Stage::Established,
             target,
+            is_target_assumed: false,
             last_packet_at: now,
             created_at: now,
             initial_seq: None,
--- a/crates/steer/src/passive_health.rs
+++ b/crates/steer/src/passive_health.rs
@@ -196,6 +196,7 @@
                 continue;
             };
             if flow.has_sent_request
+                && !flow.is_target_assumed
                 && !flow.is_reported_unanswered
                 && flow.request_sent_at == Some(request.request_sent_at)
             {
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -269,7 +269,7 @@
         record.accepts_flows()
             && !self.may_have_restarted(record)
             && !self.view.is_evacuated(&record.target.domain)
-            && self.view.has_token(record.target.id)
+            && self.view.has_token(self.now, record.target.id)
     }
 
     /// Returns whether a target whose report has disappeared may have started again, so that it could
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -194,7 +194,7 @@
         let (verdict, attribution) = match segment.kind {
             PacketKind::Open { .. } => (self.on_opening_packet(now, segment, packet), None),
             PacketKind::Data | PacketKind::Finish | PacketKind::Abort => {
-                let target = self.target_of_segment(segment);
+                let target = self.target_of_segment(now, segment);
                 let verdict = self.on_established_packet(now, segment, target);
                 (verdict, target.map(|id| (segment.token, id)))
             }
--- a/crates/steer/src/tokens.rs
+++ b/crates/steer/src/tokens.rs
@@ -6,12 +6,14 @@
 //! - New flows of all of them get a substitute token, which no other known target has. It identifies
 //!   its target also on instances that do not know the others.
 //! - The primary token identifies the target that started first. It had flows before the others
-//!   joined, and no instance that knows the others gives the token to further flows.
+//!   joined, and no instance that knows the others gives the token to further flows. Once it has
+//!   left, the token identifies the next one, as it does on instances that started later and do not
+//!   know the one that left.
 //!
 //! Both depend only on the known targets, not on the order in which they were learned.
 
 use hashbrown::HashMap;
-use ids::{Micros, Millis, hash_of};
+use ids::hash_of;
 
 use crate::model::TargetId;
 use crate::packet::Token;
@@ -31,23 +33,16 @@
 /// Number of bits between the masks of consecutive substitutes.
 const MASK_BITS: u32 = 8;
 
-/// Time after the removal of a report for which its target keeps the primary token. A target that
-/// lives is seen to respond, or has reported again by then.
-const HANDOVER_DELAY: Millis = Millis(4_000);
-
 /// Order in which targets with the same primary token take it; the lowest comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Seniority {
-    /// Instances that started after the target had left do not know it.
-    has_left: bool,
     incarnation: u64,
     id: TargetId,
 }
 
 impl Seniority {
-    pub(crate) fn of(record: &TargetRecord, now: Micros) -> Self {
+    pub(crate) fn of(record: &TargetRecord) -> Self {
         Self {
-            has_left: record.has_left_for(now, HANDOVER_DELAY),
             incarnation: record.target.incarnation,
             id: record.target.id,
         }
@@ -57,9 +52,9 @@
 /// The tokens of all known targets.
 #[derive(Debug, Default)]
 pub(crate) struct TokenTable {
-    /// Target that each primary token identifies.
+    /// Target that started first of those with each primary token.
     holders: HashMap<Token, TargetId>,
-    /// Targets with the same primary token, by that token, if there are several.
+    /// Targets with the same primary token, by that token and in their order, if there are several.
     groups: HashMap<Token, Vec<TargetId>>,
     /// Token for new flows of each target in `groups`, if it has one of its own.
     written: HashMap<TargetId, Token>,
@@ -107,11 +102,6 @@
         self.is_stale |= self.is_shared(id.token());
     }
 
-    /// Notes that time has passed, which may change the seniority of targets that have left.
-    pub(crate) fn update_all(&mut self) {
-        self.is_stale |= !self.groups.is_empty();
-    }
-
     /// Assigns the tokens of targets with equal primary tokens, if any of them has changed.
     pub(crate) fn refresh(&mut self, seniority: impl Fn(TargetId) -> Option<Seniority>) {
         if !std::mem::take(&mut self.is_stale) {
@@ -147,8 +137,18 @@
         }
     }
 
-    /// Returns the target that a token identifies.
-    pub(crate) fn target(&self, token: Token) -> Option<TargetId> {
+    /// Returns the target that a token identifies, given which targets have left.
+    pub(crate) fn target(
+        &self,
+        token: Token,
+        has_left: impl Fn(TargetId) -> bool,
+    ) -> Option<TargetId> {
+        if self.is_shared(token)
+            && let Some(group) = self.groups.get(&token)
+            && let Some(id) = group.iter().find(|id| !has_left(**id))
+        {
+            return Some(*id);
+        }
         if let Some(id) = self.holders.get(&token) {
             return Some(*id);
         }
@@ -179,11 +179,12 @@
         self.written.get(&id).copied().unwrap_or(id.token())
     }
 
-    /// Returns whether the token for new flows of a known target identifies it.
-    pub(crate) fn is_usable(&self, id: TargetId) -> bool {
+    /// Returns whether the token for new flows of a known target identifies it, given which targets
+    /// have left.
+    pub(crate) fn is_usable(&self, id: TargetId, has_left: impl Fn(TargetId) -> bool) -> bool {
         self.groups.is_empty()
             || self.written.contains_key(&id)
-            || self.holders.get(&id.token()) == Some(&id)
+            || self.target(id.token(), has_left) == Some(id)
     }
 
     /// Returns whether several known targets have this primary token.
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -23,6 +23,9 @@
 /// Seed that separates the hash for traffic splitting from other uses of the hash.
 const SHARE_SEED: u64 = 0x706f_6c6c_7368_6172;
 
+/// Time for which a response shows that a target without a report lives, if others have its token.
+const LIVENESS_WINDOW: Millis = Millis(4_000);
+
 /// A target with its state on this instance.
 #[derive(Debug)]
 pub struct TargetRecord {
@@ -97,10 +100,13 @@
             && self.responsiveness.last_response_at() <= self.removed_at
     }
 
-    /// Returns whether the target has not responded since its report disappeared, and that was at
-    /// least this time ago.
-    pub(crate) fn has_left_for(&self, now: Micros, time: Millis) -> bool {
-        self.are_flows_over(now) && now.since(self.removed_at) >= time
+    /// Returns whether packets whose token other targets have as well are not for this target. A
+    /// response that arrives just after the departure of a target does not show that it lives.
+    fn has_left(&self, now: Micros) -> bool {
+        self.are_flows_over(now)
+            || self.state == TargetState::Gone
+                && now >= self.flows_end_at
+                && now.since(self.responsiveness.last_response_at()) >= LIVENESS_WINDOW
     }
 
     fn state_change(&self) -> ViewChange {
@@ -210,8 +216,12 @@
     }
 
     /// Returns the target that a token identifies.
-    pub fn target_by_token(&self, token: Token) -> Option<TargetId> {
-        self.tokens.target(token)
+    pub fn target_by_token(&self, now: Micros, token: Token) -> Option<TargetId> {
+        self.tokens.target(token, |id| self.has_left(now, id))
+    }
+
+    fn has_left(&self, now: Micros, id: TargetId) -> bool {
+        self.record(id).is_none_or(|record| record.has_left(now))
     }
 
     /// Returns the token to write into packets that open a flow at a target. It identifies the target
@@ -222,8 +232,8 @@
 
     /// Returns whether a known target has a token that identifies it. It has none in the unlikely
     /// case that all its tokens belong to other targets as well.
-    pub fn has_token(&self, id: TargetId) -> bool {
-        self.tokens.is_usable(id)
+    pub fn has_token(&self, now: Micros, id: TargetId) -> bool {
+        self.tokens.is_usable(id, |other| self.has_left(now, other))
     }
 
     /// Returns whether several known targets may have open flows under a token.
@@ -363,7 +373,7 @@
         for id in missing {
             changes.extend(self.remove(now, revision, id, lapse_grace));
         }
-        self.refresh_tokens(now);
+        self.refresh_tokens();
         self.revision = self.revision.max(revision);
         changes
     }
@@ -380,15 +390,15 @@
         for update in updates {
             changes.extend(self.apply(now, update, lapse_grace));
         }
-        self.refresh_tokens(now);
+        self.refresh_tokens();
         self.revision = self.revision.max(revision);
         changes
     }
 
-    fn refresh_tokens(&mut self, now: Micros) {
+    fn refresh_tokens(&mut self) {
         let records = &self.records;
         self.tokens
-            .refresh(|id| records.get(&id).map(|record| Seniority::of(record, now)));
+            .refresh(|id| records.get(&id).map(Seniority::of));
     }
 
     fn apply(&mut self, now: Micros, update: Update, lapse_grace: Millis) -> Option<ViewChange> {
@@ -568,8 +578,7 @@
         for id in forgotten {
             self.forget(id);
         }
-        self.tokens.update_all();
-        self.refresh_tokens(now);
+        self.refresh_tokens();
         changes
     }
 
--- a/crates/steer/tests/tokens.rs
+++ b/crates/steer/tests/tokens.rs
@@ -7,11 +7,13 @@
 use std::collections::HashMap;
 
 use ids::{Micros, Millis};
-use kit::{ORDER, TestInstance, default_routes, expect_forwarded, new_document, new_target};
+use kit::{
+    LOOKUP, ORDER, TestInstance, default_routes, expect_forwarded, new_document, new_target,
+};
 use proptest::prelude::*;
 use steer::{
-    Change, DropReason, FlowId, PacketKind, Revision, Segment, Target, TargetId, Token, Update,
-    Verdict, View,
+    Change, DropReason, FlowId, PacketKind, ResetReason, Revision, Segment, Target, TargetId,
+    TargetLoad, Token, Update, Verdict, View,
 };
 
 macro_rules! cases {
@@ -110,11 +112,11 @@
 }
 
 /// Checks that a reader finds the target of each token that a writer writes.
-fn check_tokens(writer: &View, reader: &View, reports: &[(usize, Report)]) {
+fn check_tokens(now: Micros, writer: &View, reader: &View, reports: &[(usize, Report)]) {
     for (_, report) in reports {
         let id = TargetId(report.id);
-        assert!(writer.has_token(id), "{id} gets no flows");
-        assert_eq!(reader.target_by_token(writer.token_of(id)), Some(id));
+        assert!(writer.has_token(now, id), "{id} gets no flows");
+        assert_eq!(reader.target_by_token(now, writer.token_of(id)), Some(id));
     }
 }
 
@@ -144,21 +146,22 @@
         let mut views = [first, late, shuffled];
         // Until the grace period is over, targets that have left may live.
         for (writer, reader) in [(0, 0), (0, 1), (0, 2), (1, 1), (2, 0), (2, 1), (2, 2)] {
-            check_tokens(&views[writer], &views[reader], &reports);
+            check_tokens(Micros(2_000_000), &views[writer], &views[reader], &reports);
         }
         for now in [5_000_000, 10_000_000] {
             for view in &mut views {
                 view.expire(Micros(now), GRACE, FLOW_LIFETIME);
             }
         }
+        let now = Micros(10_000_000);
         for writer in &views {
             for reader in &views {
-                check_tokens(writer, reader, &reports);
+                check_tokens(now, writer, reader, &reports);
             }
         }
         for (_, report) in &reports {
             let token = TargetId(report.id).token();
-            let found = views.each_ref().map(|view| view.target_by_token(token));
+            let found = views.each_ref().map(|view| view.target_by_token(now, token));
             prop_assert!(found.iter().all(|id| *id == found[0]), "{found:?}");
         }
     }
@@ -177,7 +180,7 @@
         let some = view_of(some.map(|(number, report)| update(*number, *report)).collect(), true);
         for (number, report) in &reports {
             let id = TargetId(report.id);
-            let found = some.target_by_token(all.token_of(id));
+            let found = some.target_by_token(Micros(2_000_000), all.token_of(id));
             prop_assert!(found == Some(id) || found.is_none() && !known[*number], "{found:?}");
         }
     }
@@ -208,6 +211,20 @@
     instance.publish(vec![Change::TargetGone(TargetId(id))]);
 }
 
+/// Lets a target announce its shutdown and leave.
+fn leave(instance: &mut TestInstance, id: u64) {
+    instance.publish(vec![Change::Target(Target {
+        is_draining: true,
+        ..new_target(id, "rates", "a")
+    })]);
+    remove(instance, id);
+}
+
+/// Returns the numbers of known flows of two targets.
+fn flow_counts(instance: &TestInstance, ids: [u64; 2]) -> [u32; 2] {
+    ids.map(|id| instance.steer.view().record(TargetId(id)).unwrap().flows)
+}
+
 /// Sends a packet of an established flow under a token.
 fn send(instance: &mut TestInstance, flow: FlowId, token: Token, ack: u32) -> Verdict {
     instance.send(Segment {
@@ -245,7 +262,7 @@
         for _ in 0..30 {
             let flow = instance.flow(ORDER);
             let (id, token) = open(&mut instance, flow);
-            assert_eq!(instance.steer.view().target_by_token(token), Some(id));
+            assert_eq!(instance.steer.view().target_by_token(instance.now, token), Some(id));
             *counts.entry(id).or_default() += 1;
         }
         assert_eq!(counts.into_values().collect::<Vec<_>>(), [10; 3]);
@@ -278,7 +295,7 @@
         publish(&mut fast, older, 30);
         let mut newcomer = instance_with(&[(younger, 20), (older, 30)]);
         let primary = TargetId(older).token();
-        let holders = [&fast, &newcomer].map(|instance| instance.steer.view().target_by_token(primary));
+        let holders = [&fast, &newcomer].map(|instance| instance.steer.view().target_by_token(instance.now, primary));
         assert_eq!(holders, [Some(TargetId(younger)); 2]);
         for (id, before) in [older, younger].into_iter().zip(before) {
             for token in [before, token(&fast, id), token(&newcomer, id)] {
@@ -317,6 +334,109 @@
         assert_eq!(expect_forwarded(send(&mut newcomer, other, token, 1_500)).id, id);
     }
 
+    // Guards against a reset of flows that a newcomer opened at the other target, between the departure
+    // of the older one and the next sweep.
+    token_of_a_target_that_left_passes_to_the_other_one_at_once => {
+        let [older, younger] = PAIRS[0];
+        let mut instance = instance_with(&[(older, 10), (younger, 20)]);
+        leave(&mut instance, older);
+        let mut newcomer = instance_with(&[(younger, 20)]);
+        for _ in 0..6 {
+            let flow = newcomer.flow(LOOKUP);
+            let (_, token) = open(&mut newcomer, flow);
+            assert_eq!(token, TargetId(older).token());
+            assert_eq!(expect_forwarded(send(&mut instance, flow, token, 1_500)).id.0, younger);
+            instance.advance(Millis(900));
+        }
+    }
+
+    // Guards against a reset of such flows that were attributed to the older target before it was known
+    // to be gone.
+    attribution_of_a_flow_passes_to_the_other_target => {
+        let [older, younger] = PAIRS[0];
+        let mut instance = instance_with(&[(older, 10), (younger, 20)]);
+        remove(&mut instance, older);
+        let flow = instance.flow(LOOKUP);
+        let token = TargetId(older).token();
+        assert_eq!(expect_forwarded(send(&mut instance, flow, token, 1_000)).id.0, older);
+        // Responses of the younger target, acknowledged through this instance.
+        instance.advance(Millis(100));
+        assert_eq!(expect_forwarded(send(&mut instance, flow, token, 1_500)).id.0, older);
+        instance.advance(Millis(2_000));
+        instance.sweep();
+        instance.advance(Millis(2_000));
+        assert_eq!(expect_forwarded(send(&mut instance, flow, token, 2_000)).id.0, younger);
+        assert_eq!(flow_counts(&instance, [older, younger]), [0, 1]);
+    }
+
+    // Guards against a target that has left and seems to answer, because a peer that does not know it
+    // reports answers of the other target under their common token.
+    report_of_a_peer_does_not_keep_a_target_that_left => {
+        let [older, younger] = PAIRS[0];
+        let mut instance = instance_with(&[(older, 10), (younger, 20)]);
+        let token = TargetId(older).token();
+        leave(&mut instance, older);
+        for _ in 0..8 {
+            instance.advance(Millis(500));
+            let report = TargetLoad { answered: 5, ..TargetLoad::none(token) };
+            instance.steer.on_domain_loads(instance.now, &[report]);
+        }
+        let flow = instance.flow(LOOKUP);
+        assert_eq!(expect_forwarded(send(&mut instance, flow, token, 1_500)).id.0, younger);
+    }
+
+    // Guards against a target that has left and keeps its token for a minute, because the caller's
+    // acknowledgement of its last response came after its departure.
+    last_acknowledgement_does_not_keep_a_target_that_left => {
+        let [older, younger] = PAIRS[0];
+        let mut instance = instance_with(&[(older, 10)]);
+        let flow = instance.flow(LOOKUP);
+        let (_, token) = open(&mut instance, flow);
+        expect_forwarded(send(&mut instance, flow, token, 1_000));
+        publish(&mut instance, younger, 20);
+        leave(&mut instance, older);
+        instance.advance(Millis(5));
+        expect_forwarded(send(&mut instance, flow, token, 1_500));
+        instance.advance(Millis(5_000));
+        let other = instance.flow(LOOKUP);
+        assert_eq!(expect_forwarded(send(&mut instance, other, token, 1_500)).id.0, younger);
+    }
+
+    // Guards against evidence from flows that may be those of the other target.
+    flows_of_unknown_origin_are_no_evidence_against_a_target => {
+        let [older, younger] = PAIRS[0];
+        let mut instance = instance_with(&[(older, 10), (younger, 20)]);
+        let token = TargetId(older).token();
+        let flows: Vec<FlowId> = (0..5).map(|_| instance.flow(LOOKUP)).collect();
+        for _ in 0..2 {
+            for flow in &flows {
+                expect_forwarded(send(&mut instance, *flow, token, 1_500));
+            }
+            instance.advance(Millis(300));
+        }
+        let record = instance.steer.view().record(TargetId(older)).unwrap();
+        assert_eq!(record.responsiveness.unanswered_requests(), 0);
+    }
+
+    // Guards against flows of a target that has left which wait for their deadline, although their
+    // requests may run again.
+    flow_of_a_target_that_left_is_reset_at_once => {
+        let [older, younger] = PAIRS[0];
+        let mut instance = instance_with(&[(older, 10)]);
+        let early = instance.flow(LOOKUP);
+        let (_, primary) = open(&mut instance, early);
+        expect_forwarded(send(&mut instance, early, primary, 1_000));
+        publish(&mut instance, younger, 20);
+        let substitute = instance.steer.view().token_of(TargetId(older));
+        instance.advance(Millis(10));
+        leave(&mut instance, older);
+        let late = instance.flow(LOOKUP);
+        for (flow, token) in [(early, primary), (late, substitute)] {
+            let verdict = send(&mut instance, flow, token, 1_000);
+            assert_eq!(verdict, Verdict::Reset(ResetReason::TargetGone));
+        }
+    }
+
     // Guards against flows that a newcomer opens after the older target has left, and that another
     // instance sends to the target that has left.
     token_of_a_target_that_left_passes_to_the_other_one => {
