--- a/crates/edge/src/recorder.rs
+++ b/crates/edge/src/recorder.rs
@@ -223,7 +223,7 @@
             "target_state" => chart::Label::name(record.state),
             "state_ms" => now.since(record.state_since).0,
             "heard_before_ms" => now.since(responsiveness.last_response_at()).0,
-            "requests_unanswered" => responsiveness.unanswered_requests(),
+            "requests_unanswered" => responsiveness.unanswered_requests(now),
             "document" => view.version(), AtRevision(view.revision()));
     }
 
--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -12,9 +12,14 @@
 /// time. A single one may be a lost datagram.
 const LONG_AVOIDANCE_COUNT: u32 = 2;
 
-/// Number of unanswered requests of different established flows after which all flows of the target
-/// count as dead. Two losses may coincide on a live target between two responses; three do not.
-const DEAD_COUNT: u32 = 3;
+/// Number of unanswered requests of different established flows within [`EVIDENCE_WINDOW`] after
+/// which all flows of the target count as dead. Two losses may coincide on a live target between two
+/// responses; three do not.
+const DEAD_COUNT: usize = 3;
+
+/// Time for which an unanswered request counts beside later ones. Those of a cut that has ended
+/// must not add up with a single loss long after it.
+const EVIDENCE_WINDOW: Millis = Millis(2_000);
 
 /// Number of stalled requests within [`STALL_WINDOW`] after which a target gets no new flows. A
 /// healthy target occasionally stalls a request.
@@ -27,10 +32,14 @@
 /// because only they show whether the target has recovered.
 const STALL_AVOIDANCE: Millis = Millis(3_000);
 
-/// Time for which unanswered requests count. The first request after this time detects that a
-/// target has recovered.
+/// Time after the last unanswered request for which flows count as dead. The first request after
+/// this time detects that a target has recovered.
 const DEAD_WINDOW: Millis = Millis(1_000);
 
+/// Number of long avoidances for which an unanswered packet counts. A target that does not respond
+/// gets its next packet after one.
+const COUNTED_AVOIDANCES: u64 = 2;
+
 /// Kind of a packet that was not answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UnansweredPacket {
@@ -69,12 +78,13 @@
     last_response_at: Micros,
     /// When the last unanswered packet was first sent.
     unanswered_sent_at: Micros,
-    /// Number of unanswered packets since the last response.
+    /// When the last unanswered packet was recorded.
+    last_unanswered_at: Micros,
+    /// Number of unanswered packets since the last response or a long time without any.
     unanswered_count: u32,
-    /// Number of unanswered requests of established flows since the last response.
-    unanswered_requests: u32,
-    /// When the last unanswered request was recorded.
-    last_unanswered_request_at: Micros,
+    /// When the last unanswered requests of established flows were recorded, oldest first. They are
+    /// forgotten with each response.
+    unanswered_requests: [Option<Micros>; DEAD_COUNT],
     /// End of the time in which the target gets no new flows.
     avoid_until: Micros,
 }
@@ -108,10 +118,14 @@
             return None;
         }
         self.unanswered_sent_at = self.unanswered_sent_at.max(sent_at);
+        if now.since(self.last_unanswered_at).0 > long_avoidance.0 * COUNTED_AVOIDANCES {
+            self.unanswered_count = 0;
+        }
+        self.last_unanswered_at = now;
         self.unanswered_count = self.unanswered_count.saturating_add(1);
         if packet == UnansweredPacket::Request {
-            self.unanswered_requests = self.unanswered_requests.saturating_add(1);
-            self.last_unanswered_request_at = now;
+            self.unanswered_requests.rotate_left(1);
+            self.unanswered_requests[DEAD_COUNT - 1] = Some(now);
         }
         let avoidance = if self.unanswered_count >= LONG_AVOIDANCE_COUNT {
             long_avoidance
@@ -127,9 +141,12 @@
         self.last_response_at
     }
 
-    /// Returns the number of unanswered requests of established flows since the last response.
-    pub fn unanswered_requests(&self) -> u32 {
-        self.unanswered_requests
+    /// Returns the number of unanswered requests of established flows that still count.
+    pub fn unanswered_requests(&self, now: Micros) -> usize {
+        let recorded = self.unanswered_requests.iter().flatten();
+        recorded
+            .filter(|recorded_at| now.since(**recorded_at) <= EVIDENCE_WINDOW)
+            .count()
     }
 
     /// Returns whether the target gets no new flows.
@@ -139,8 +156,9 @@
 
     /// Returns whether the target's established flows count as dead.
     pub fn is_dead(&self, now: Micros) -> bool {
-        self.unanswered_requests >= DEAD_COUNT
-            && now.since(self.last_unanswered_request_at) <= DEAD_WINDOW
+        let last_recorded_at = self.unanswered_requests[DEAD_COUNT - 1];
+        last_recorded_at.is_some_and(|recorded_at| now.since(recorded_at) <= DEAD_WINDOW)
+            && self.unanswered_requests(now) >= DEAD_COUNT
     }
 }
 
--- a/crates/steer/tests/evidence.rs
+++ b/crates/steer/tests/evidence.rs
@@ -3,6 +3,8 @@
 
 mod kit;
 
+use std::net::Ipv4Addr;
+
 use ids::Millis;
 use kit::{LOOKUP, ORDER, TestInstance, expect_forwarded};
 use steer::{
@@ -19,10 +21,15 @@
 
 /// Opens idempotent flows until `count` of them have the same target.
 fn open_flows_on_one_target(instance: &mut TestInstance, count: usize) -> (TargetId, Vec<FlowId>) {
+    open_flows_of(instance, &vec![Ipv4Addr::new(100, 64, 0, 7); count])
+}
+
+/// Opens one idempotent flow of each caller, all with the same target.
+fn open_flows_of(instance: &mut TestInstance, callers: &[Ipv4Addr]) -> (TargetId, Vec<FlowId>) {
     let mut flows = Vec::new();
     let mut chosen = None;
-    while flows.len() < count {
-        let flow = instance.flow(LOOKUP);
+    while let Some(caller) = callers.get(flows.len()) {
+        let flow = instance.flow_of(*caller, LOOKUP);
         let target = instance.open_established(flow);
         if *chosen.get_or_insert(target) == target {
             flows.push(flow);
@@ -31,6 +38,42 @@
     (chosen.unwrap_or_default(), flows)
 }
 
+/// Opens a flow with another target than the given one.
+fn open_elsewhere(instance: &mut TestInstance, target: TargetId) -> (TargetId, FlowId) {
+    loop {
+        let flow = instance.flow(LOOKUP);
+        let other = instance.open_established(flow);
+        if other != target {
+            return (other, flow);
+        }
+    }
+}
+
+/// Returns the address of a caller.
+fn caller(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(100, 64, 1, number)
+}
+
+/// Lets each flow send a request and, 200 ms later, send it again, while another target responds.
+/// Returns the last verdict.
+fn send_in_vain(
+    instance: &mut TestInstance,
+    target: TargetId,
+    flows: &[FlowId],
+    responding: (TargetId, FlowId),
+) -> Option<Verdict> {
+    for flow in flows {
+        instance.send_data(*flow, target, 100, 0);
+    }
+    instance.advance(Millis(200));
+    let received = instance.now.0 as u32;
+    instance.send_data(responding.1, responding.0, 0, received);
+    let verdicts = flows
+        .iter()
+        .map(|flow| instance.send_data(*flow, target, 100, 0));
+    verdicts.last()
+}
+
 /// Lets another target respond, as on any instance with traffic.
 fn let_another_respond(instance: &mut TestInstance, unresponsive: TargetId) {
     loop {
@@ -157,6 +200,59 @@
         assert_eq!(expect_forwarded(instance.send_data(flows[3], target, 100, 0)).id, target);
     }
 
+    // Guards against evidence that is no longer true: a cut ended seconds ago, and a single packet is
+    // lost.
+    unanswered_requests_of_the_past_do_not_reset_flows => {
+        let mut instance = TestInstance::new();
+        let (target, flows) = open_flows_of(&mut instance, &[1, 2, 3, 4].map(caller));
+        let other = open_elsewhere(&mut instance, target);
+        send_in_vain(&mut instance, target, &flows[..3], other);
+        instance.advance(Millis(5_000));
+        let verdict = send_in_vain(&mut instance, target, &flows[3..], other);
+        assert_eq!(expect_forwarded(verdict.unwrap()).id, target);
+    }
+
+    // Guards against flows of a dead target that are not reset because they send few requests.
+    unanswered_requests_within_two_seconds_reset_flows => {
+        let mut instance = TestInstance::new();
+        let (target, flows) = open_flows_of(&mut instance, &[1, 2, 3].map(caller));
+        let other = open_elsewhere(&mut instance, target);
+        let mut verdict = None;
+        for flow in &flows {
+            instance.advance(Millis(600));
+            verdict = send_in_vain(&mut instance, target, &[*flow], other);
+        }
+        assert_eq!(verdict, Some(Verdict::Reset(ResetReason::TargetSilent)));
+    }
+
+    // Guards against evidence that comes too late: three callers are enough for the flows of any other,
+    // also if one of them has many flows.
+    unanswered_requests_of_three_callers_reset_flows_of_all => {
+        let mut instance = TestInstance::new();
+        let callers = [1, 1, 1, 1, 1, 1, 1, 1, 2, 3, 4].map(caller);
+        let (target, flows) = open_flows_of(&mut instance, &callers);
+        let other = open_elsewhere(&mut instance, target);
+        let verdict = send_in_vain(&mut instance, target, &flows[..10], other);
+        assert_eq!(verdict, Some(Verdict::Reset(ResetReason::TargetSilent)));
+        assert_eq!(
+            instance.send_data(flows[10], target, 100, 0),
+            Verdict::Reset(ResetReason::TargetSilent)
+        );
+    }
+
+    // Guards against a target that gets no new flows for seconds, because packets were lost at times
+    // that are far apart.
+    packets_lost_long_ago_do_not_avoid_a_target_for_longer => {
+        let mut instance = TestInstance::new();
+        let (target, flows) = open_flows_of(&mut instance, &[1, 2].map(caller));
+        let other = open_elsewhere(&mut instance, target);
+        send_in_vain(&mut instance, target, &flows[..1], other);
+        instance.advance(Millis(20_000));
+        send_in_vain(&mut instance, target, &flows[1..], other);
+        instance.advance(Millis(600));
+        assert!(!instance.steer.view().record(target).unwrap().is_avoided(instance.now));
+    }
+
     unanswered_opening_packets_do_not_reset_open_flows => {
         let mut instance = TestInstance::new();
         let (target, flows) = open_flows_on_one_target(&mut instance, 1);
--- a/crates/steer/tests/kit/mod.rs
+++ b/crates/steer/tests/kit/mod.rs
@@ -124,9 +124,14 @@
 
     /// Returns a new flow.
     pub fn flow(&mut self, entry: SocketAddrV4) -> FlowId {
+        self.flow_of(Ipv4Addr::new(100, 64, 0, 7), entry)
+    }
+
+    /// Returns a new flow of a caller.
+    pub fn flow_of(&mut self, caller: Ipv4Addr, entry: SocketAddrV4) -> FlowId {
         self.next_port += 1;
         FlowId {
-            caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), self.next_port),
+            caller: SocketAddrV4::new(caller, self.next_port),
             entry,
         }
     }
--- a/crates/steer/tests/tokens.rs
+++ b/crates/steer/tests/tokens.rs
@@ -415,7 +415,7 @@
             instance.advance(Millis(300));
         }
         let record = instance.steer.view().record(TargetId(older)).unwrap();
-        assert_eq!(record.responsiveness.unanswered_requests(), 0);
+        assert_eq!(record.responsiveness.unanswered_requests(instance.now), 0);
     }
 
     // Guards against flows of a target that has left which wait for their deadline, although their
