--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -1,5 +1,7 @@
 //! Conversion and deduplication of the evidence about targets that peers exchange.
 
+use std::net::Ipv4Addr;
+
 use hashbrown::HashMap;
 use ids::Millis;
 use steer::{Evidence, Observation, TargetId, UnansweredPacket};
@@ -45,6 +47,7 @@
         age_ms: evidence.age.0,
         origin,
         sequence,
+        caller: evidence.caller.map_or(0, Ipv4Addr::to_bits),
     }
 }
 
@@ -62,5 +65,6 @@
         target: TargetId(evidence.target),
         observation,
         age: Millis(evidence.age_ms),
+        caller: (evidence.caller != 0).then(|| Ipv4Addr::from_bits(evidence.caller)),
     })
 }
--- a/crates/edge/src/recorder.rs
+++ b/crates/edge/src/recorder.rs
@@ -224,6 +224,7 @@
             "state_ms" => now.since(record.state_since).0,
             "heard_before_ms" => now.since(responsiveness.last_response_at()).0,
             "requests_unanswered" => responsiveness.unanswered_requests(now),
+            "requests_counted" => responsiveness.unanswered_requests_for(now, *flow.caller.ip()),
             "document" => view.version(), AtRevision(view.revision()));
     }
 
--- a/crates/edge/tests/evidence.rs
+++ b/crates/edge/tests/evidence.rs
@@ -57,6 +57,7 @@
             age_ms: 0,
             origin: 7,
             sequence,
+            caller: 0,
         }
     }
 
@@ -101,6 +102,17 @@
         assert_eq!(fixture.request_after(evidence).await, Outcome::Reset);
     }
 
+    // Guards against flows that are reset because those of another caller get no responses.
+    unanswered_requests_of_another_caller_count_once => {
+        let mut fixture = Fixture::new().await;
+        let evidence = (1..=6).map(|sequence| Evidence {
+            caller: 0x6440_0107,
+            ..fixture.missed_request(sequence)
+        });
+        let evidence = evidence.collect();
+        assert_eq!(fixture.request_after(evidence).await, Outcome::Answered);
+    }
+
     duplicate_evidence_counts_once => {
         let mut fixture = Fixture::new().await;
         let evidence = vec![fixture.missed_request(1); 6];
--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -122,7 +122,9 @@
         if record.are_flows_over(now) {
             return Some(ResetReason::TargetGone);
         }
+        let caller = *segment.flow.caller.ip();
         let is_silent = self.is_only_target_silent(now, id)
+            && record.responsiveness.is_dead_for(now, caller)
             && !record.load.has_answered_within(now, PEER_ANSWER_WINDOW)
             && !self.is_target_assumed(segment);
         is_silent.then_some(ResetReason::TargetSilent)
--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -4,6 +4,8 @@
 //! its target, and a caller that retransmits a packet has not. Reports of targets are seconds old
 //! and may be wrong, so this evidence takes precedence over them.
 
+use std::net::Ipv4Addr;
+
 use ids::{Micros, Millis};
 
 use crate::model::TargetId;
@@ -17,6 +19,10 @@
 /// responses; three do not.
 const DEAD_COUNT: usize = 3;
 
+/// Number of unanswered requests that are remembered for each target. Of one caller there are at most
+/// [`DEAD_COUNT`], so that a caller with many flows leaves room for the requests of others.
+const REMEMBERED_REQUESTS: usize = 2 * DEAD_COUNT;
+
 /// Time for which an unanswered request counts beside later ones. Those of a cut that has ended
 /// must not add up with a single loss long after it.
 const EVIDENCE_WINDOW: Millis = Millis(2_000);
@@ -58,6 +64,8 @@
     pub observation: Observation,
     /// Time since the target responded, or since the unanswered packet was first sent.
     pub age: Millis,
+    /// Caller whose packet was not answered. Peers of earlier versions do not tell it.
+    pub caller: Option<Ipv4Addr>,
 }
 
 /// An observation of a target.
@@ -71,6 +79,13 @@
     Stalled,
 }
 
+/// An unanswered request of an established flow.
+#[derive(Debug, Clone, Copy)]
+struct UnansweredRequest {
+    recorded_at: Micros,
+    caller: Option<Ipv4Addr>,
+}
+
 /// Evidence from callers' packets about one target.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Responsiveness {
@@ -82,9 +97,9 @@
     last_unanswered_at: Micros,
     /// Number of unanswered packets since the last response or a long time without any.
     unanswered_count: u32,
-    /// When the last unanswered requests of established flows were recorded, oldest first. They are
-    /// forgotten with each response.
-    unanswered_requests: [Option<Micros>; DEAD_COUNT],
+    /// The last unanswered requests of established flows, in any order. They are forgotten with each
+    /// response.
+    unanswered_requests: [Option<UnansweredRequest>; REMEMBERED_REQUESTS],
     /// End of the time in which the target gets no new flows.
     avoid_until: Micros,
 }
@@ -104,12 +119,13 @@
         was_avoided
     }
 
-    /// Records that a packet sent at `sent_at` was not answered. Returns the number of such
+    /// Records that a caller's packet sent at `sent_at` was not answered. Returns the number of such
     /// packets, or `None` if the target has responded since.
     pub fn record_unanswered(
         &mut self,
         now: Micros,
         packet: UnansweredPacket,
+        caller: Option<Ipv4Addr>,
         sent_at: Micros,
         brief_avoidance: Millis,
         long_avoidance: Millis,
@@ -124,8 +140,10 @@
         self.last_unanswered_at = now;
         self.unanswered_count = self.unanswered_count.saturating_add(1);
         if packet == UnansweredPacket::Request {
-            self.unanswered_requests.rotate_left(1);
-            self.unanswered_requests[DEAD_COUNT - 1] = Some(now);
+            self.add_request(UnansweredRequest {
+                recorded_at: now,
+                caller,
+            });
         }
         let avoidance = if self.unanswered_count >= LONG_AVOIDANCE_COUNT {
             long_avoidance
@@ -136,16 +154,53 @@
         Some(self.unanswered_count)
     }
 
+    /// Remembers an unanswered request in place of the oldest one.
+    fn add_request(&mut self, request: UnansweredRequest) {
+        let is_of_caller = |known: &&mut Option<UnansweredRequest>| {
+            request.caller.is_some() && known.is_some_and(|known| known.caller == request.caller)
+        };
+        let known = self.unanswered_requests.iter_mut();
+        let count = known.filter(is_of_caller).count();
+        let replaceable = self
+            .unanswered_requests
+            .iter_mut()
+            .filter(|known| count < DEAD_COUNT || is_of_caller(known));
+        if let Some(oldest) = replaceable.min_by_key(|known| known.map(|known| known.recorded_at)) {
+            *oldest = Some(request);
+        }
+    }
+
     /// Returns the last time a caller showed that it had received a response from the target.
     pub fn last_response_at(&self) -> Micros {
         self.last_response_at
     }
 
-    /// Returns the number of unanswered requests of established flows that still count.
+    /// Returns the unanswered requests that still count.
+    fn requests(&self, now: Micros) -> impl Iterator<Item = &UnansweredRequest> {
+        let known = self.unanswered_requests.iter().flatten();
+        known.filter(move |request| now.since(request.recorded_at) <= EVIDENCE_WINDOW)
+    }
+
+    /// Returns the number of unanswered requests of established flows that still count, of any
+    /// callers.
     pub fn unanswered_requests(&self, now: Micros) -> usize {
-        let recorded = self.unanswered_requests.iter().flatten();
-        recorded
-            .filter(|recorded_at| now.since(**recorded_at) <= EVIDENCE_WINDOW)
+        self.requests(now).count()
+    }
+
+    /// Returns the number of unanswered requests that count against flows of a caller. All requests of
+    /// another caller count as one, because the fault may be on the side of that caller.
+    pub fn unanswered_requests_for(&self, now: Micros, caller: Ipv4Addr) -> usize {
+        let is_first_of_its_caller = |request: &UnansweredRequest| {
+            let mut known = self.requests(now);
+            let first = known.find(|known| known.caller == request.caller);
+            first.is_some_and(|first| std::ptr::eq(first, request))
+        };
+        self.requests(now)
+            .filter(|request| {
+                request.caller.is_none()
+                    || request.caller == Some(caller)
+                    || is_first_of_its_caller(request)
+            })
             .count()
     }
 
@@ -154,12 +209,17 @@
         now < self.avoid_until
     }
 
-    /// Returns whether the target's established flows count as dead.
-    pub fn is_dead(&self, now: Micros) -> bool {
-        let last_recorded_at = self.unanswered_requests[DEAD_COUNT - 1];
-        last_recorded_at.is_some_and(|recorded_at| now.since(recorded_at) <= DEAD_WINDOW)
+    /// Returns whether so many requests were not answered that the target may be dead.
+    pub fn is_silent(&self, now: Micros) -> bool {
+        let mut requests = self.requests(now);
+        requests.any(|request| now.since(request.recorded_at) <= DEAD_WINDOW)
             && self.unanswered_requests(now) >= DEAD_COUNT
     }
+
+    /// Returns whether a caller's established flows with the target count as dead.
+    pub fn is_dead_for(&self, now: Micros, caller: Ipv4Addr) -> bool {
+        self.is_silent(now) && self.unanswered_requests_for(now, caller) >= DEAD_COUNT
+    }
 }
 
 /// Requests that a target acknowledged but did not answer. It may still answer others and report
--- a/crates/steer/src/passive_health.rs
+++ b/crates/steer/src/passive_health.rs
@@ -69,6 +69,7 @@
         if let Some(unanswered_count) = record.responsiveness.record_unanswered(
             now,
             packet,
+            Some(*flow.caller.ip()),
             sent_at,
             brief_avoidance,
             long_avoidance,
@@ -111,7 +112,14 @@
         let last_response_age = now.since(record.responsiveness.last_response_at());
         if record
             .responsiveness
-            .record_unanswered(now, packet, observed_at, brief_avoidance, long_avoidance)
+            .record_unanswered(
+                now,
+                packet,
+                evidence.caller,
+                observed_at,
+                brief_avoidance,
+                long_avoidance,
+            )
             .is_none()
         {
             self.notes.push(Note::Contradicted {
@@ -159,14 +167,14 @@
         cold_start::warmup(service)
     }
 
-    /// Returns whether the requests of a target's open flows are not answered although other targets
-    /// answer, so that the fault is not on the side of this instance.
+    /// Returns whether requests of a target's open flows are not answered although other targets
+    /// answer, so that the fault is not on the side of this instance. It may be on that of a caller.
     pub(crate) fn is_only_target_silent(&self, now: Micros, id: TargetId) -> bool {
         now.since(self.last_response_at) < RECENT_RESPONSE_WINDOW
             && self
                 .view
                 .record(id)
-                .is_some_and(|record| record.responsiveness.is_dead(now))
+                .is_some_and(|record| record.responsiveness.is_silent(now))
     }
 
     /// Returns the time after which a request counts as stalled.
--- a/crates/steer/src/verdict.rs
+++ b/crates/steer/src/verdict.rs
@@ -235,6 +235,7 @@
         match self {
             Self::Unanswered {
                 target,
+                flow,
                 packet,
                 waited,
                 ..
@@ -242,11 +243,18 @@
                 target: *target,
                 observation: Observation::Unanswered(*packet),
                 age: *waited,
+                caller: Some(*flow.caller.ip()),
             }),
-            Self::Stalled { target, waited, .. } => Some(Evidence {
+            Self::Stalled {
+                target,
+                flow,
+                waited,
+                ..
+            } => Some(Evidence {
                 target: *target,
                 observation: Observation::Stalled,
                 age: *waited,
+                caller: Some(*flow.caller.ip()),
             }),
             Self::Contradicted {
                 target,
@@ -255,6 +263,7 @@
                 target: *target,
                 observation: Observation::Responded,
                 age: *last_response_age,
+                caller: None,
             }),
             _ => None,
         }
--- a/crates/steer/tests/cold_targets.rs
+++ b/crates/steer/tests/cold_targets.rs
@@ -322,7 +322,7 @@
         let observations = [Observation::Unanswered(UnansweredPacket::Request); 3];
         for observation in observations {
             let age = Millis(0);
-            let evidence = Evidence { target: TargetId(1), observation, age };
+            let evidence = Evidence { target: TargetId(1), observation, age, caller: None };
             instance.steer.on_evidence(instance.now, &evidence);
         }
         assert_eq!(standing(&instance, 1), "cold");
--- a/crates/steer/tests/evidence.rs
+++ b/crates/steer/tests/evidence.rs
@@ -225,6 +225,21 @@
         assert_eq!(verdict, Some(Verdict::Reset(ResetReason::TargetSilent)));
     }
 
+    // Guards against flows that are reset because those of another caller get no responses, whose
+    // way back may be at fault.
+    silent_flows_of_one_caller_do_not_reset_those_of_others => {
+        let mut instance = TestInstance::new();
+        let callers = [1, 1, 1, 1, 1, 2].map(caller);
+        let (target, flows) = open_flows_of(&mut instance, &callers);
+        let other = open_elsewhere(&mut instance, target);
+        send_in_vain(&mut instance, target, &flows[..5], other);
+        let working = flows[5];
+        assert_eq!(expect_forwarded(instance.send_data(working, target, 100, 0)).id, target);
+        // Beside them, a single packet of the other caller is lost.
+        let verdict = send_in_vain(&mut instance, target, &[working], other);
+        assert_eq!(expect_forwarded(verdict.unwrap()).id, target);
+    }
+
     // Guards against evidence that comes too late: three callers are enough for the flows of any other,
     // also if one of them has many flows.
     unanswered_requests_of_three_callers_reset_flows_of_all => {
@@ -349,6 +364,7 @@
             target,
             observation: Observation::Unanswered(UnansweredPacket::Request),
             age: Millis(200),
+            caller: None,
         };
         // This instance received a response after the peer's caller had sent its request.
         for _ in 0..3 {
@@ -367,11 +383,36 @@
             Verdict::Reset(ResetReason::TargetSilent)
         );
         // Another peer received a response after all.
-        let response = Evidence { target, observation: Observation::Responded, age: Millis(0) };
+        let response = Evidence { target, observation: Observation::Responded, age: Millis(0), caller: None };
         instance.steer.on_evidence(instance.now, &response);
         assert_eq!(expect_forwarded(instance.send_data(flows[0], target, 200, 0)).id, target);
     }
 
+    // Guards against evidence of one caller that counts several times because several peers tell it.
+    evidence_of_one_caller_from_several_peers_counts_once => {
+        let mut instance = TestInstance::new();
+        let (target, flows) = open_flows_of(&mut instance, &[1].map(caller));
+        let other = open_elsewhere(&mut instance, target);
+        instance.advance(Millis(500));
+        let tell = |instance: &mut TestInstance, number| {
+            let missed = Evidence {
+                target,
+                observation: Observation::Unanswered(UnansweredPacket::Request),
+                age: Millis(200),
+                caller: Some(caller(number)),
+            };
+            instance.steer.on_evidence(instance.now, &missed);
+        };
+        (0..5).for_each(|_| tell(&mut instance, 2));
+        let verdict = send_in_vain(&mut instance, target, &flows, other);
+        assert_eq!(expect_forwarded(verdict.unwrap()).id, target);
+        tell(&mut instance, 3);
+        assert_eq!(
+            instance.send_data(flows[0], target, 100, 0),
+            Verdict::Reset(ResetReason::TargetSilent)
+        );
+    }
+
     avoided_targets_are_used_when_there_are_no_others => {
         let mut instance = TestInstance::new();
         for _ in 0..40 {
--- a/crates/steer/tests/flow_demand.rs
+++ b/crates/steer/tests/flow_demand.rs
@@ -246,6 +246,7 @@
             target: TargetId(3),
             observation: Observation::Unanswered(UnansweredPacket::Opening),
             age: Millis(0),
+            caller: None,
         };
         instance.steer.on_evidence(instance.now, &evidence);
         assert_eq!(instance.balance(), [1_000]);
--- a/crates/steer/tests/load.rs
+++ b/crates/steer/tests/load.rs
@@ -80,6 +80,7 @@
             target: id,
             observation: Observation::Unanswered(UnansweredPacket::Opening),
             age: Millis(0),
+            caller: None,
         };
         for _ in 0..2 {
             self.steer.on_evidence(self.now, &evidence);
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -91,6 +91,7 @@
         target: TargetId(id),
         observation: Observation::Unanswered(UnansweredPacket::Opening),
         age: Millis(0),
+        caller: None,
     };
     instance.steer.on_evidence(instance.now, &evidence);
     instance.steer.on_evidence(instance.now, &evidence);
--- a/crates/steer/tests/spill.rs
+++ b/crates/steer/tests/spill.rs
@@ -120,6 +120,7 @@
             target: TargetId(id),
             observation: Observation::Unanswered(UnansweredPacket::Opening),
             age: Millis(0),
+            caller: None,
         };
         self.steer.on_evidence(self.now, &evidence);
         self.steer.on_evidence(self.now, &evidence);
--- a/crates/steer/tests/stalled_requests.rs
+++ b/crates/steer/tests/stalled_requests.rs
@@ -101,6 +101,7 @@
                         target: TargetId(id),
                         observation: Observation::Stalled,
                         age: Millis(0),
+                        caller: None,
                     };
                     instance.steer.on_evidence(instance.now, &evidence);
                     count_stalled(instance.now, &mut models, id);
