--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -126,9 +126,15 @@
     /// whether the store answered.
     async fn call_store(&mut self) -> bool {
         let after = self.known_revision();
-        match self.call_watch(after, self.timing.immediate_watch()).await {
-            Ok(changes) => {
+        let times = self.timing.immediate_watch();
+        let mut late_watch = std::mem::take(&mut self.late_watch);
+        let answer = self.call_watch(&mut late_watch, after, times).await;
+        self.late_watch = late_watch;
+        match answer {
+            Ok(answer) => {
+                let (changes, is_late) = answer.into_parts();
                 self.note_source_answered();
+                self.may_be_stale = is_late;
                 self.count_call("watch");
                 self.note_epoch(changes.revision.epoch);
                 self.log_value_errors(&changes.value_errors);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod evidence;
 mod follower;
 mod http;
+pub mod late_call;
 mod line_limiter;
 pub mod load_exchange;
 mod log_fields;
--- a/crates/edge/src/store_timing.rs
+++ b/crates/edge/src/store_timing.rs
@@ -59,6 +59,10 @@
 /// megabyte over a slow link.
 const MAX_PAGE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for which a call is kept after its wait, so that an answer after the time-out is taken while
+/// the call is repeated.
+pub const MAX_LATE_ANSWER: Duration = Duration::from_secs(5);
+
 /// Time after which a first page is no longer awaited if a better peer is known. The store usually
 /// answers within milliseconds; it takes longer if all instances of a large fleet read a large view
 /// at the same time.
@@ -167,7 +171,8 @@
         self.change_limit / BATCH_DELAY_DIVISOR
     }
 
-    /// Returns the time-out of a page after one that was too short.
+    /// Returns the time-out of a page after one that was too short, for an instance without a view.
+    /// Longer time-outs would hide the end of an outage from an instance that has one.
     pub fn next_page_timeout(&self, page_timeout: Duration) -> Duration {
         (page_timeout * 2).min(MAX_PAGE_TIMEOUT)
     }
--- a/crates/edge/src/store_timing/worst_case.rs
+++ b/crates/edge/src/store_timing/worst_case.rs
@@ -25,7 +25,7 @@
     FirstView,
     /// A better peer accepts a starting instance and has no view, or falls silent.
     FirstViewFromPeer,
-    /// The store or the link to it is back just after a call was lost, the last of several.
+    /// The store or the link to it is back just after a call or a page was lost, the last of several.
     EndOfOutage,
     /// The same for a follower, which calls the store in turn.
     EndOfOutageForFollower,
@@ -57,7 +57,7 @@
         match loss {
             Loss::WatchWithFollowers => self.longest_watch(true) + repetition,
             Loss::WatchWithoutFollowers => self.longest_watch(false) + repetition,
-            Loss::Page => answer + self.max_first_pause() + self.next_page_timeout(answer),
+            Loss::Page => answer + repetition,
             Loss::CatchUp => answer + answer,
             Loss::SourceOfPeer => self.longest_watch(true) + self.max_first_turn() + answer,
             Loss::SilentPeer => self.peer_silence() + answer,
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use ids::Millis;
-use platform::{Changes, Error, Store};
+use platform::{Changes, Error, Page, Store};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
@@ -17,13 +17,14 @@
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
+use crate::late_call::{Answer, CallFailure, LateCall};
 use crate::log_fields::AtRevision;
 use crate::metrics::Metrics;
 use crate::peer::DiscoverySignals;
 use crate::relay::{RelayService, lock};
 use crate::store_timing::{
-    FIRST_PAGE_PATIENCE, MIN_RETRY_PAUSE, PEER_CHECK_INTERVAL, StoreTiming, WatchConditions,
-    WatchTimes,
+    FIRST_PAGE_PATIENCE, MAX_LATE_ANSWER, MIN_RETRY_PAUSE, PEER_CHECK_INTERVAL, StoreTiming,
+    WatchConditions, WatchTimes,
 };
 
 /// Events that other tasks send to the packet loop.
@@ -87,6 +88,14 @@
     next_after: Option<String>,
 }
 
+/// How a watch ended.
+#[derive(Debug)]
+enum WatchOutcome {
+    Called(platform::Result<Answer<Changes>>),
+    FollowerJoined,
+    UpstreamFound,
+}
+
 /// Keeps the view up to date until the process ends.
 #[derive(Debug)]
 pub struct ViewReader {
@@ -113,6 +122,8 @@
     pub(crate) source_lost_at: Option<Instant>,
     pub(crate) retry_pause: Duration,
     page_timeout: Duration,
+    late_page: LateCall<Page, Error>,
+    pub(crate) late_watch: LateCall<Changes, Error>,
     /// Whether the store answered its latest call slowly.
     is_store_slow: bool,
     /// Whether the reader has just paused to gather changes.
@@ -151,6 +162,8 @@
             has_paused: false,
             has_followed: false,
             random: SmallRng::from_os_rng(),
+            late_page: LateCall::default(),
+            late_watch: LateCall::default(),
         }
     }
 
@@ -232,16 +245,18 @@
     /// start together and the store limits calls, none of them would ever finish otherwise.
     async fn read_page(&mut self) -> platform::Result<()> {
         let started_at = Instant::now();
-        let after = self.partial.next_after.as_deref();
-        let call = self.context.store.page(after, self.page_timeout);
-        let page = tokio::select! {
-            page = call => page?,
-            () = self.better_peer_known(), if self.revision.is_none() => {
-                self.count_call("abandoned");
-                self.prefers_peer = true;
-                return Ok(());
-            }
+        let mut late_page = std::mem::take(&mut self.late_page);
+        let answer = tokio::select! {
+            answer = self.call_page(&mut late_page) => Some(answer),
+            () = self.better_peer_known(), if self.revision.is_none() => None,
+        };
+        self.late_page = late_page;
+        let Some(answer) = answer else {
+            self.count_call("abandoned");
+            self.prefers_peer = true;
+            return Ok(());
         };
+        let (page, _) = answer?.into_parts();
         self.metrics
             .store_call_seconds
             .observe(started_at.elapsed().as_secs_f64());
@@ -252,6 +267,7 @@
         if page.revision.epoch != first_revision.epoch {
             // Changes since the first page can no longer be requested.
             self.partial = PartialSnapshot::default();
+            self.late_page.abandon();
             return Ok(());
         }
         self.partial.page_count += 1;
@@ -281,6 +297,22 @@
         Ok(())
     }
 
+    /// Calls the store for the next page.
+    async fn call_page(&self, late: &mut LateCall<Page, Error>) -> platform::Result<Answer<Page>> {
+        let store = self.context.store.clone();
+        let after = self.partial.next_after.clone();
+        let call = async move { store.page(after.as_deref(), MAX_LATE_ANSWER).await };
+        let answer = late.run(call, self.page_timeout).await;
+        answer.map_err(|failure| self.call_error("reading", failure))
+    }
+
+    fn call_error(&self, step: &'static str, failure: CallFailure<Error>) -> Error {
+        match failure {
+            CallFailure::Failed(error) => error,
+            CallFailure::TimedOut => self.context.store.timeout_error(step),
+        }
+    }
+
     /// Adds the changes since the revision of a snapshot, so that after a long read, or with the
     /// view of a peer that is behind, no flow is steered by an outdated configuration.
     pub(crate) async fn catch_up(
@@ -288,11 +320,12 @@
         revision: &mut Revision,
         updates: &mut Vec<Update>,
     ) -> platform::Result<()> {
-        match self
-            .call_watch(*revision, self.timing.immediate_watch())
-            .await
-        {
-            Ok(changes) => {
+        // An answer to an earlier call would have changes from another revision on.
+        let mut late = LateCall::default();
+        let times = self.timing.immediate_watch();
+        match self.call_watch(&mut late, *revision, times).await {
+            Ok(answer) => {
+                let (changes, _) = answer.into_parts();
                 self.count_call("watch");
                 self.log_value_errors(&changes.value_errors);
                 updates.extend(changes.updates);
@@ -312,27 +345,39 @@
         let times = self.watch_times();
         self.has_paused = false;
         let sent_at = Instant::now();
-        let changes = tokio::select! {
-            changes = self.call_watch(after, times) => changes?,
+        let mut late_watch = std::mem::take(&mut self.late_watch);
+        let outcome = tokio::select! {
+            answer = self.call_watch(&mut late_watch, after, times) => WatchOutcome::Called(answer),
             // From now on the new follower depends on this instance, so do not wait for a response
             // that may never arrive; the next watch returns immediately.
-            () = self.context.relay.follower_joined() => {
+            () = self.context.relay.follower_joined() => WatchOutcome::FollowerJoined,
+            // Only before the first follow: a starting instance should not keep reading the store
+            // beside its peers. Later, ending the watch would cost one more call each time.
+            () = self.upstream_found(), if !self.has_followed => WatchOutcome::UpstreamFound,
+        };
+        self.late_watch = late_watch;
+        let answer = match outcome {
+            WatchOutcome::Called(answer) => answer?,
+            WatchOutcome::FollowerJoined => {
                 self.may_be_stale = true;
                 return Ok(());
             }
-            // Only before the first follow: a starting instance should not keep reading the store
-            // beside its peers. Later, ending the watch would cost one more call each time.
-            () = self.upstream_found(), if !self.has_followed => {
+            WatchOutcome::UpstreamFound => {
                 self.count_call("abandoned");
                 return Ok(());
             }
         };
+        let (changes, is_late) = answer.into_parts();
         let has_changes = !changes.updates.is_empty();
-        if !has_changes || times.wait.is_zero() {
+        if is_late {
+            self.is_store_slow = true;
+        } else if !has_changes || times.wait.is_zero() {
             let answer_time = sent_at.elapsed().saturating_sub(times.wait);
             self.is_store_slow = self.timing.is_slow(answer_time);
         }
         self.note_source_answered();
+        // A late answer may lack the changes since it was sent.
+        self.may_be_stale = is_late;
         self.count_call("watch");
         self.note_epoch(changes.revision.epoch);
         self.log_value_errors(&changes.value_errors);
@@ -347,12 +392,15 @@
     /// Calls the store for changes after a revision.
     pub(crate) async fn call_watch(
         &self,
+        late: &mut LateCall<Changes, Error>,
         after: Revision,
         times: WatchTimes,
-    ) -> platform::Result<Changes> {
+    ) -> platform::Result<Answer<Changes>> {
         let wait = Millis(times.wait.as_millis() as u64);
-        let store = &self.context.store;
-        store.watch(after, wait, times.answer_timeout).await
+        let store = self.context.store.clone();
+        let call = async move { store.watch(after, wait, MAX_LATE_ANSWER).await };
+        let answer = late.run(call, times.wait + times.answer_timeout).await;
+        answer.map_err(|failure| self.call_error("watching", failure))
     }
 
     fn watch_times(&self) -> WatchTimes {
@@ -368,6 +416,8 @@
 
     pub(crate) fn apply_snapshot(&mut self, revision: Revision, updates: Vec<Update>) {
         self.revision = Some(revision);
+        self.late_page.abandon();
+        self.late_watch.abandon();
         lock(&self.context.peers).record_own_view();
         let applied = self.context.relay.publish_snapshot(revision, updates);
         self.log_outdated(revision, &applied.outdated);
@@ -453,7 +503,9 @@
         self.count_call("failed");
         self.context.relay.set_current(false);
         self.may_be_stale = false;
-        self.page_timeout = self.timing.next_page_timeout(self.page_timeout);
+        if self.revision.is_none() {
+            self.page_timeout = self.timing.next_page_timeout(self.page_timeout);
+        }
         if self.source_lost_at.is_none() {
             self.source_lost_at = Some(Instant::now());
             warn!(self.log, "store lost"; "step" => "store", "reason" => %error);
--- a/crates/edge/tests/lost_call.rs
+++ b/crates/edge/tests/lost_call.rs
@@ -10,6 +10,7 @@
 
 use kit::instance::Instance;
 use kit::proxy::{Impairment, Proxy};
+use kit::store::Mode;
 use kit::{ENTRY, LINK_MBPS, METRICS_PORT, PROXY_PORT, TestNetwork, document, wait_until};
 
 /// Maximum time until a change must take effect, equal to the settings of the instances.
@@ -108,6 +109,37 @@
         assert_change_in_time(&net, &instance).await;
     }
 
+    // After one lost call, answers that take longer than the time-out of a repeated call never arrived,
+    // however often it was repeated: review/1 with a store that takes 0.65 s and more.
+    slow_answers_after_a_lost_call_arrive => {
+        let net = TestNetwork::new(1).await;
+        let instance = start_alone(&net).await;
+        net.store.lose_next_call();
+        wait_until("a call is lost", || async { net.store.has_lost_call() }).await;
+        let answer_time = Duration::from_millis(800);
+        net.store.set_answer_time(answer_time);
+        net.store.put("op/config", &document(2, &[ENTRY]));
+        let changed_at = Instant::now();
+        wait_until_version(&instance, 2.0).await;
+        let elapsed = changed_at.elapsed();
+        assert!(elapsed < CHANGE_LIMIT + answer_time, "{elapsed:?}");
+    }
+
+    // Each lost page doubled the time-out of the next one, so that the last one hid the end of an
+    // outage for up to 5 s.
+    lost_pages_hide_the_end_of_an_outage_for_less_than_the_limit => {
+        let net = TestNetwork::new(1).await;
+        let instance = start_alone(&net).await;
+        net.store.lose_next_call();
+        net.store.put("op/config", &document(1, &[ENTRY]));
+        net.store.compact();
+        wait_until("a page is lost", || async { net.store.has_lost_call() }).await;
+        net.store.set_mode(Mode::Unresponsive);
+        tokio::time::sleep(Duration::from_millis(4_800)).await;
+        net.store.set_mode(Mode::Up);
+        assert_change_in_time(&net, &instance).await;
+    }
+
     // Each better peer that discovery found ended a watch, which is one more call. It serves only
     // an instance that starts. The rounds of discovery follow each other quickly after the start,
     // so that one of them falls into a watch.
