--- a/crates/edge/src/follower.rs
+++ b/crates/edge/src/follower.rs
@@ -128,11 +128,10 @@
         let after = self.known_revision();
         let times = self.timing.immediate_watch();
         let mut late_watch = std::mem::take(&mut self.late_watch);
-        let answer = self.call_watch(&mut late_watch, after, times).await;
+        let answer = self.call_store_once(&mut late_watch, after, times).await;
         self.late_watch = late_watch;
         match answer {
-            Ok(answer) => {
-                let (changes, is_late) = answer.into_parts();
+            Ok((changes, is_late)) => {
                 self.note_source_answered();
                 self.may_be_stale = is_late;
                 self.count_call("watch");
--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use ids::Millis;
-use platform::{Changes, Error, Page, Store};
+use platform::{Changes, Error, Incoming, Page, Store};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
@@ -91,7 +91,7 @@
 /// How a watch ended.
 #[derive(Debug)]
 enum WatchOutcome {
-    Called(platform::Result<Answer<Changes>>),
+    Begun(platform::Result<Answer<Incoming<Changes>>>),
     FollowerJoined,
     UpstreamFound,
 }
@@ -122,8 +122,8 @@
     pub(crate) source_lost_at: Option<Instant>,
     pub(crate) retry_pause: Duration,
     page_timeout: Duration,
-    late_page: LateCall<Page, Error>,
-    pub(crate) late_watch: LateCall<Changes, Error>,
+    late_page: LateCall<Incoming<Page>, Error>,
+    pub(crate) late_watch: LateCall<Incoming<Changes>, Error>,
     /// Whether the store answered its latest call slowly.
     is_store_slow: bool,
     /// Whether the reader has just paused to gather changes.
@@ -256,7 +256,7 @@
             self.prefers_peer = true;
             return Ok(());
         };
-        let (page, _) = answer?.into_parts();
+        let page = answer?;
         self.metrics
             .store_call_seconds
             .observe(started_at.elapsed().as_secs_f64());
@@ -298,12 +298,36 @@
     }
 
     /// Calls the store for the next page.
-    async fn call_page(&self, late: &mut LateCall<Page, Error>) -> platform::Result<Answer<Page>> {
+    async fn call_page(
+        &self,
+        late: &mut LateCall<Incoming<Page>, Error>,
+    ) -> platform::Result<Page> {
+        let due = tokio::time::Instant::now() + self.page_timeout;
         let store = self.context.store.clone();
         let after = self.partial.next_after.clone();
-        let call = async move { store.page(after.as_deref(), MAX_LATE_ANSWER).await };
+        let call = async move { store.request_page(after.as_deref(), MAX_LATE_ANSWER).await };
         let answer = late.run(call, self.page_timeout).await;
-        answer.map_err(|failure| self.call_error("reading", failure))
+        let answer = answer.map_err(|failure| self.call_error("reading", failure))?;
+        self.receive(answer.into_parts().0, due).await
+    }
+
+    /// Receives a response that has begun. If it is not complete when it is due, followers may call
+    /// the store themselves.
+    pub(crate) async fn receive<T: platform::ResponseBody>(
+        &self,
+        incoming: Incoming<T>,
+        due: tokio::time::Instant,
+    ) -> platform::Result<T> {
+        let answer = incoming.receive(self.timing.answer_timeout());
+        tokio::pin!(answer);
+        tokio::select! {
+            answer = &mut answer => return answer,
+            () = tokio::time::sleep_until(due) => {}
+        }
+        info!(self.log, "answer of the store is slow to arrive"; "step" => "store",
+            AtRevision(self.revision.unwrap_or_default()));
+        self.context.relay.set_current(false);
+        answer.await
     }
 
     fn call_error(&self, step: &'static str, failure: CallFailure<Error>) -> Error {
@@ -323,9 +347,8 @@
         // An answer to an earlier call would have changes from another revision on.
         let mut late = LateCall::default();
         let times = self.timing.immediate_watch();
-        match self.call_watch(&mut late, *revision, times).await {
-            Ok(answer) => {
-                let (changes, _) = answer.into_parts();
+        match self.call_store_once(&mut late, *revision, times).await {
+            Ok((changes, _)) => {
                 self.count_call("watch");
                 self.log_value_errors(&changes.value_errors);
                 updates.extend(changes.updates);
@@ -345,9 +368,10 @@
         let times = self.watch_times();
         self.has_paused = false;
         let sent_at = Instant::now();
+        let due = tokio::time::Instant::now() + times.wait + times.answer_timeout;
         let mut late_watch = std::mem::take(&mut self.late_watch);
         let outcome = tokio::select! {
-            answer = self.call_watch(&mut late_watch, after, times) => WatchOutcome::Called(answer),
+            answer = self.call_watch(&mut late_watch, after, times) => WatchOutcome::Begun(answer),
             // From now on the new follower depends on this instance, so do not wait for a response
             // that may never arrive; the next watch returns immediately.
             () = self.context.relay.follower_joined() => WatchOutcome::FollowerJoined,
@@ -357,7 +381,7 @@
         };
         self.late_watch = late_watch;
         let answer = match outcome {
-            WatchOutcome::Called(answer) => answer?,
+            WatchOutcome::Begun(answer) => answer?,
             WatchOutcome::FollowerJoined => {
                 self.may_be_stale = true;
                 return Ok(());
@@ -367,12 +391,13 @@
                 return Ok(());
             }
         };
-        let (changes, is_late) = answer.into_parts();
+        let answer_time = sent_at.elapsed().saturating_sub(times.wait);
+        let (incoming, is_late) = answer.into_parts();
+        let changes = self.receive(incoming, due).await?;
         let has_changes = !changes.updates.is_empty();
         if is_late {
             self.is_store_slow = true;
         } else if !has_changes || times.wait.is_zero() {
-            let answer_time = sent_at.elapsed().saturating_sub(times.wait);
             self.is_store_slow = self.timing.is_slow(answer_time);
         }
         self.note_source_answered();
@@ -389,20 +414,34 @@
         Ok(())
     }
 
-    /// Calls the store for changes after a revision.
-    pub(crate) async fn call_watch(
+    /// Calls the store for changes after a revision, and returns the response once it has begun.
+    async fn call_watch(
         &self,
-        late: &mut LateCall<Changes, Error>,
+        late: &mut LateCall<Incoming<Changes>, Error>,
         after: Revision,
         times: WatchTimes,
-    ) -> platform::Result<Answer<Changes>> {
+    ) -> platform::Result<Answer<Incoming<Changes>>> {
         let wait = Millis(times.wait.as_millis() as u64);
         let store = self.context.store.clone();
-        let call = async move { store.watch(after, wait, MAX_LATE_ANSWER).await };
+        let call = async move { store.request_changes(after, wait, MAX_LATE_ANSWER).await };
         let answer = late.run(call, times.wait + times.answer_timeout).await;
         answer.map_err(|failure| self.call_error("watching", failure))
     }
 
+    /// Calls the store for changes after a revision. Returns whether the answer came late, too.
+    pub(crate) async fn call_store_once(
+        &self,
+        late: &mut LateCall<Incoming<Changes>, Error>,
+        after: Revision,
+        times: WatchTimes,
+    ) -> platform::Result<(Changes, bool)> {
+        let due = tokio::time::Instant::now() + times.wait + times.answer_timeout;
+        let answer = self.call_watch(late, after, times).await?;
+        let (incoming, is_late) = answer.into_parts();
+        let changes = self.receive(incoming, due).await?;
+        Ok((changes, is_late))
+    }
+
     fn watch_times(&self) -> WatchTimes {
         if self.may_be_stale || self.source_lost_at.is_some() {
             return self.timing.immediate_watch();
--- a/crates/edge/tests/lost_call.rs
+++ b/crates/edge/tests/lost_call.rs
@@ -5,7 +5,7 @@
 
 mod kit;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
 use kit::instance::Instance;
@@ -125,6 +125,30 @@
         assert!(elapsed < CHANGE_LIMIT + answer_time, "{elapsed:?}");
     }
 
+    // An answer that takes longer to arrive than the time-out was requested again and again, and never
+    // arrived: review/9, a large configuration on a narrow link.
+    large_configuration_arrives_over_a_narrow_link => {
+        let net = TestNetwork::new(1).await;
+        let address = SocketAddr::from((net.instance_host(0), PROXY_PORT));
+        let proxy = Proxy::start(address, net.store.address).await;
+        let instance = net.start_with(0, proxy.address, LINK_MBPS);
+        wait_until("the instance is ready", || instance.is_ready()).await;
+        proxy.set_impairment(Impairment::Delayed);
+        tokio::time::sleep(CHANGE_LIMIT).await;
+        let calls = net.store.call_count();
+        wait_until("a watch begins", || async { net.store.call_count() > calls }).await;
+        // The answer begins to arrive shortly before the time-out of the watch.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let entries: Vec<_> = (0..1_600).map(|port| SocketAddrV4::new(*ENTRY.ip(), port)).collect();
+        net.store.put("op/config", &document(2, &entries));
+        let changed_at = Instant::now();
+        wait_until_version(&instance, 2.0).await;
+        let elapsed = changed_at.elapsed();
+        assert!(elapsed < CHANGE_LIMIT, "{elapsed:?}");
+        let repeated = net.store.call_count() - calls - 1;
+        assert!(repeated <= 1, "{repeated} further calls");
+    }
+
     // Each lost page doubled the time-out of the next one, so that the last one hid the end of an
     // outage for up to 5 s.
     lost_pages_hide_the_end_of_an_outage_for_less_than_the_limit => {
