Add foreign entries and shared tokens to the soak

Change: another writer leaves incomplete entries, some without an identity, that name the address of a target of its own, at which no flow may open. In half of the seeds two targets have one token, and one of them leaves as planned. Both have random generators of their own, so that the other faults of a seed stay. Targets of the test kit take packets for identity 0.

--- a/crates/edge/tests/kit/mod.rs
+++ b/crates/edge/tests/kit/mod.rs
@@ -77,12 +77,28 @@
 
     /// Starts a target in a failure domain, which reports to the store.
     pub async fn new_target(&self, index: u8, domain: &'static str) -> Target {
-        let address = SocketAddrV4::new(loopback_host(self.prefix, 20 + index), TARGET_PORT);
-        let mut target = Target::start(0x10 + u64::from(index), address, PACKET_PORT).await;
+        let mut target = self.start_target(index, 0x10 + u64::from(index)).await;
         target.domain = domain;
+        self.report_ready(&target);
+        target
+    }
+
+    /// Starts a target with a chosen identity, which reports to the store.
+    pub async fn new_target_with_id(&self, index: u8, id: u64) -> Target {
+        let target = self.start_target(index, id).await;
+        self.report_ready(&target);
+        target
+    }
+
+    /// Starts a target that does not report.
+    pub async fn start_target(&self, index: u8, id: u64) -> Target {
+        let address = SocketAddrV4::new(loopback_host(self.prefix, 20 + index), TARGET_PORT);
+        Target::start(id, address, PACKET_PORT).await
+    }
+
+    fn report_ready(&self, target: &Target) {
         self.store
             .put(&target.store_key(), &target.store_record("ready"));
-        target
     }
 
     pub fn instance_host(&self, index: u8) -> Ipv4Addr {
--- a/crates/edge/tests/kit/target.rs
+++ b/crates/edge/tests/kit/target.rs
@@ -101,7 +101,8 @@
     loop {
         let (length, from) = socket.recv_from(&mut buffer).await.unwrap();
         let intended_id = u64::from_be_bytes(buffer[..8].try_into().unwrap());
-        if intended_id != id {
+        // Zero is for whichever target has the address.
+        if intended_id != id && intended_id != 0 {
             continue;
         }
         let packet = Packet::decode(&buffer[8..length]);
--- a/crates/edge/tests/soak.rs
+++ b/crates/edge/tests/soak.rs
@@ -27,9 +27,11 @@
 
 /// Default seeds, kept as regression tests:
 /// 1: instances followed a reader whose watch had stopped responding before they joined;
+/// 3: an incomplete entry of another writer got flows, and flows of a target were reset after another
+/// one with the same token had left;
 /// 14: a process exited when it received SIGHUP right after its start;
 /// 501: changes were refused after a restore of the store, which gave out their revisions again.
-const SEEDS: [u64; 3] = [1, 14, 501];
+const SEEDS: [u64; 4] = [1, 3, 14, 501];
 
 /// Time in which a new process may not have installed its signal handlers. A signal then ends the
 /// process, and the platform restarts it.
@@ -176,7 +178,7 @@
             targets: net
                 .targets
                 .iter()
-                .chain(additions.refuges())
+                .chain(additions.undisturbed_targets())
                 .map(|target| (target.id, long_ago, true))
                 .collect(),
             outages: Vec::new(),
@@ -606,6 +608,9 @@
             }
         }
         let mut results = std::mem::take(&mut *self.results.lock().unwrap());
+        results
+            .violations
+            .extend(self.additions.foreign_violation());
         results
             .violations
             .extend(self.additions.cold_return.and_then(|cold| cold.violation()));
--- a/crates/edge/tests/soak/additions.rs
+++ b/crates/edge/tests/soak/additions.rs
@@ -1,5 +1,6 @@
-//! Faults with a random generator of their own, so that they do not change the other faults of a
-//! seed: the evacuation of a failure domain, and a target that returns cold.
+//! Faults with random generators of their own, so that they do not change the other faults of a seed:
+//! the evacuation of a failure domain, a target that returns cold, entries of another writer, and two
+//! targets with one token of which one leaves.
 
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -41,8 +42,18 @@
 /// what it may.
 const BURST_PAUSE: Duration = Duration::from_millis(10);
 
+/// Two identities with equal tokens.
+const SHARED_TOKEN_IDS: [u64; 2] = [0x25_3f8f_7811, 0x2c_33b3_a52a];
+
+/// Time for which the target that leaves reports that it drains.
+const DRAIN_TIME: Duration = Duration::from_millis(3_500);
+
 pub struct Additions {
     random: SmallRng,
+    foreign_random: SmallRng,
+    token_random: SmallRng,
+    foreign_entries: ForeignEntries,
+    shared_token: Option<SharedToken>,
     pub evacuation: Option<Evacuation>,
     pub cold_return: Option<ColdReturn>,
 }
@@ -57,6 +68,20 @@
     pub refuges: Vec<Target>,
 }
 
+/// Incomplete entries of another writer, which name the address of a target of another service.
+pub struct ForeignEntries {
+    target: Target,
+}
+
+/// Two targets with one token, of which one leaves as planned.
+pub struct SharedToken {
+    leaves_at: Instant,
+    is_draining: bool,
+    has_left: bool,
+    leaving: Target,
+    staying: Target,
+}
+
 /// A target that is down for a while and starts again as a new process.
 pub struct ColdReturn {
     down_at: Instant,
@@ -112,8 +137,18 @@
         } else {
             None
         };
+        let mut token_random = SmallRng::seed_from_u64(seed.rotate_left(32) ^ 0x746f_6b65);
+        let shared_token = if token_random.random_bool(0.5) {
+            Some(SharedToken::start(net).await)
+        } else {
+            None
+        };
         Self {
             random,
+            foreign_random: SmallRng::seed_from_u64(seed.rotate_left(32) ^ 0x666f_7265),
+            token_random,
+            foreign_entries: ForeignEntries::start(net).await,
+            shared_token,
             evacuation,
             cold_return,
         }
@@ -132,11 +167,21 @@
             let down_time = Duration::from_millis(self.random.random_range(1_000..5_000));
             cold_return.returns_at = cold_return.down_at + down_time;
         }
+        if let Some(shared_token) = &mut self.shared_token {
+            let part = self.token_random.random_range(0.0..0.3);
+            shared_token.leaves_at = now + duration.mul_f64(part);
+        }
     }
 
     /// Begins and ends the faults that are due. `is_store_stable` is the state of the store now.
     pub async fn advance(&mut self, net: &TestNetwork, is_store_stable: impl Fn(Instant) -> bool) {
         let now = Instant::now();
+        if self.foreign_random.random_bool(0.3) {
+            self.foreign_entries.write(net, &mut self.foreign_random);
+        }
+        if let Some(shared_token) = &mut self.shared_token {
+            shared_token.advance(net, now);
+        }
         if let Some(evacuation) = &mut self.evacuation {
             if evacuation.acknowledged.is_none() && now >= evacuation.begins_at {
                 net.store.put(&order_key(), &json!({}));
@@ -168,6 +213,18 @@
         self.evacuation.iter().flat_map(|it| &it.refuges)
     }
 
+    /// Returns the targets that no fault affects.
+    pub fn undisturbed_targets(&self) -> impl Iterator<Item = &Target> {
+        let staying = self.shared_token.iter().map(|it| &it.staying);
+        self.refuges().chain(staying)
+    }
+
+    /// Returns the violation if flows were opened at the target that only foreign entries name.
+    pub fn foreign_violation(&self) -> Option<String> {
+        let count = self.foreign_entries.target.take_openings().len();
+        (count > 0).then(|| format!("{count} flows were opened by an entry of another writer"))
+    }
+
     pub fn cold_target(&self) -> Option<&Target> {
         self.cold_return.as_ref().map(|it| &it.target)
     }
@@ -180,6 +237,60 @@
     }
 }
 
+impl ForeignEntries {
+    async fn start(net: &TestNetwork) -> Self {
+        let index = FIRST_TARGET + REFUGES + 1;
+        Self {
+            target: net.start_target(index, u64::from(index)).await,
+        }
+    }
+
+    /// Writes or deletes an entry that lacks a field, has an odd one or no identity.
+    fn write(&self, net: &TestNetwork, random: &mut SmallRng) {
+        const FIELDS: [&str; 5] = ["version", "seq", "born", "zone", "max-concurrent"];
+        let key = format!("servers/foreign-{:x}", random.random_range(0..4));
+        if random.random_bool(0.3) {
+            net.store.delete(&key);
+            return;
+        }
+        let mut entry = self.target.store_record("ready");
+        let field = FIELDS[random.random_range(0..FIELDS.len())];
+        if random.random_bool(0.5) {
+            entry.as_object_mut().unwrap().remove(field);
+        } else {
+            entry[field] = json!([[[u64::MAX]]]);
+        }
+        net.store.put(&key, &entry);
+    }
+}
+
+impl SharedToken {
+    async fn start(net: &TestNetwork) -> Self {
+        let [leaving, staying] = SHARED_TOKEN_IDS;
+        let first = FIRST_TARGET + REFUGES + 2;
+        Self {
+            leaves_at: Instant::now(),
+            is_draining: false,
+            has_left: false,
+            leaving: net.new_target_with_id(first, leaving).await,
+            staying: net.new_target_with_id(first + 1, staying).await,
+        }
+    }
+
+    fn advance(&mut self, net: &TestNetwork, now: Instant) {
+        if !self.is_draining && now >= self.leaves_at {
+            self.is_draining = true;
+            let report = self.leaving.numbered_store_record("draining", 2);
+            net.store.put(&self.leaving.store_key(), &report);
+        }
+        if !self.has_left && now >= self.leaves_at + DRAIN_TIME {
+            self.has_left = true;
+            self.leaving.kill();
+            net.store.delete(&self.leaving.store_key());
+        }
+    }
+}
+
 impl Evacuation {
     fn withdraw(&mut self, net: &TestNetwork) {
         if self.acknowledged.is_some() && self.withdrawn_at.is_none() {
