Tell operators of late answers, and look up tokens only if shared

A newcomer to the code cannot see that a late answer was taken: it gets a line and an outcome of its own. The entry of a flow is only looked up a second time if its token is shared. docs/design/tokens.md names what is still not covered: an instance that remembers a target that left and has not read the report of a younger one with its token.

--- a/crates/edge/src/view_reader.rs
+++ b/crates/edge/src/view_reader.rs
@@ -396,6 +396,8 @@
         let changes = self.receive(incoming, due).await?;
         let has_changes = !changes.updates.is_empty();
         if is_late {
+            info!(self.log, "answer of the store came late"; "step" => "store",
+                AtRevision(changes.revision));
             self.is_store_slow = true;
         } else if !has_changes || times.wait.is_zero() {
             self.is_store_slow = self.timing.is_slow(answer_time);
@@ -403,7 +405,7 @@
         self.note_source_answered();
         // A late answer may lack the changes since it was sent.
         self.may_be_stale = is_late;
-        self.count_call("watch");
+        self.count_call(if is_late { "late" } else { "watch" });
         self.note_epoch(changes.revision.epoch);
         self.log_value_errors(&changes.value_errors);
         self.apply_changes(changes.revision, changes.updates);
--- a/crates/steer/src/established.rs
+++ b/crates/steer/src/established.rs
@@ -75,10 +75,7 @@
         let Some(to) = self.destination(id) else {
             return Verdict::Drop(DropReason::UnknownToken);
         };
-        let flow = self.flows.get(&segment.flow);
-        if flow.is_some_and(|flow| flow.is_target_assumed && flow.target != id) {
-            self.remove_flow(now, &segment.flow);
-        }
+        self.remove_wrongly_attributed(now, id, segment);
         self.update_flow(now, id, segment);
         if let Some(reason) = self.reset_reason(now, id, segment) {
             self.remove_flow(now, &segment.flow);
@@ -130,6 +127,18 @@
         is_silent.then_some(ResetReason::TargetSilent)
     }
 
+    /// Removes the entry of a flow that was attributed to another target with the same token, which
+    /// has left since.
+    fn remove_wrongly_attributed(&mut self, now: Micros, id: TargetId, segment: &Segment) {
+        if !self.view.is_shared_token(segment.token) {
+            return;
+        }
+        let flow = self.flows.get(&segment.flow);
+        if flow.is_some_and(|flow| flow.is_target_assumed && flow.target != id) {
+            self.remove_flow(now, &segment.flow);
+        }
+    }
+
     /// Returns whether a packet may belong to a flow of another target with the same token.
     fn is_target_assumed(&self, segment: &Segment) -> bool {
         match self.flows.get(&segment.flow) {
