Keep unanswered requests only for targets that have some

The six slots for unanswered requests took 96 bytes for each target, 7 MB for 75,000, and docs/CAPACITY.md leaves 8 MB of the limit for them. They are a list now, which is empty for targets that answer.

--- a/crates/steer/src/evidence.rs
+++ b/crates/steer/src/evidence.rs
@@ -87,7 +87,7 @@
 }
 
 /// Evidence from callers' packets about one target.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Default, Clone)]
 pub struct Responsiveness {
     /// Last time a caller showed that it had received a response.
     last_response_at: Micros,
@@ -97,9 +97,9 @@
     last_unanswered_at: Micros,
     /// Number of unanswered packets since the last response or a long time without any.
     unanswered_count: u32,
-    /// The last unanswered requests of established flows, in any order. They are forgotten with each
-    /// response.
-    unanswered_requests: [Option<UnansweredRequest>; REMEMBERED_REQUESTS],
+    /// The last unanswered requests of established flows, oldest first. They are forgotten with each
+    /// response, so that most targets need no memory for them.
+    unanswered_requests: Vec<UnansweredRequest>,
     /// End of the time in which the target gets no new flows.
     avoid_until: Micros,
 }
@@ -154,20 +154,20 @@
         Some(self.unanswered_count)
     }
 
-    /// Remembers an unanswered request in place of the oldest one.
+    /// Remembers an unanswered request, if necessary in place of the oldest one.
     fn add_request(&mut self, request: UnansweredRequest) {
-        let is_of_caller = |known: &&mut Option<UnansweredRequest>| {
-            request.caller.is_some() && known.is_some_and(|known| known.caller == request.caller)
-        };
-        let known = self.unanswered_requests.iter_mut();
-        let count = known.filter(is_of_caller).count();
-        let replaceable = self
-            .unanswered_requests
-            .iter_mut()
-            .filter(|known| count < DEAD_COUNT || is_of_caller(known));
-        if let Some(oldest) = replaceable.min_by_key(|known| known.map(|known| known.recorded_at)) {
-            *oldest = Some(request);
+        let is_of_caller =
+            |known: &UnansweredRequest| request.caller.is_some() && known.caller == request.caller;
+        let known = &mut self.unanswered_requests;
+        let count = known.iter().filter(|known| is_of_caller(known)).count();
+        if count >= DEAD_COUNT {
+            if let Some(oldest) = known.iter().position(is_of_caller) {
+                known.remove(oldest);
+            }
+        } else if known.len() == REMEMBERED_REQUESTS {
+            known.remove(0);
         }
+        known.push(request);
     }
 
     /// Returns the last time a caller showed that it had received a response from the target.
@@ -177,7 +177,7 @@
 
     /// Returns the unanswered requests that still count.
     fn requests(&self, now: Micros) -> impl Iterator<Item = &UnansweredRequest> {
-        let known = self.unanswered_requests.iter().flatten();
+        let known = self.unanswered_requests.iter();
         known.filter(move |request| now.since(request.recorded_at) <= EVIDENCE_WINDOW)
     }
 
